SIGHUP takes the configuration anew; a moved discovery is asked at once

Cause: nothing in net/mod.rs handled SIGHUP, so its default ended the program; SIGTERM's handler came only after listen. And a second fault that the crash hid, shown by the new test: discovery's address and the list's version were fixed at the start (net/discovery.rs `watch(shared, address)`), so a new service would have been asked for what is newer than another's version, after up to 6.5 s of a stale watch.

Change: both handlers before anything listens. The file (also an application's) is read and checked whole; a bad one is logged and the old kept. A new `discovery` drops the watch that is out and asks for the whole list, again every 250 ms until it answers, not at the module's back-off (up to 5 s). The list known at a start has no version either: it may be another service's. Files now go over variables, which can't change under a running program.

Checked: the test fails without the handler (connection refused), and with the old version kept.

--- a/src/config.rs
+++ b/src/config.rs
@@ -34,7 +34,7 @@
 
 impl std::error::Error for ConfigError {}
 
-/// The configuration of one relay.
+/// The configuration of one relay. [`Config::reload`] says which keys are taken while it runs.
 #[derive(Debug)]
 pub struct Config {
     /// Its name, for the log.
@@ -94,7 +94,8 @@
 
 impl Config {
     /// Reads the platform's configuration, if `PROXY_CONFIG` names one, and over it an application's file, if
-    /// one is given. All faults are reported, not the first one only.
+    /// one is given. All faults are reported, not the first one only. A variable says only what the files
+    /// leave out: they can be replaced under a running relay, its environment can't.
     pub fn load(environment: &Environment, application: Option<&Path>) -> Result<Config, Vec<ConfigError>> {
         let mut faults = Vec::new();
         let base = environment.get("PROXY_CONFIG").map(|path| (path.clone(), json(path, &mut faults)));
@@ -125,9 +126,10 @@
         let mut settings_file = base_file.as_str();
         let mut variables = Reader::new(ENVIRONMENT, &Value::Null, "", &mut faults);
         let mut variable = |name: &str| environment.get(name).and_then(|v| variables.parse(name, v, ADDRESS));
-        listen = variable("PROXY_LISTEN").or(listen);
-        discovery = variable("PROXY_DISCOVERY").or(discovery);
-        name = environment.get("PROXY_NAME").cloned().or(name);
+        let (listen_there, discovery_there) = (variable("PROXY_LISTEN"), variable("PROXY_DISCOVERY"));
+        listen = listen.or(listen_there);
+        discovery = discovery.or(discovery_there);
+        name = name.or_else(|| environment.get("PROXY_NAME").cloned());
 
         let mut top = Reader::new(&app_file, &app, "", &mut faults);
         top.known_keys(&["relay", "rtmp", "snmp", "settings"]);
@@ -199,6 +201,38 @@
             _ => Err(faults),
         }
     }
+
+    /// Takes what a newly read configuration may change under a running relay; names the keys that differ
+    /// but are taken at the next start only.
+    ///
+    /// Taken are where to ask and whom to believe: `discovery`, `peers`, `rtmp.class`, `rtmp.give_up_ms`,
+    /// `rtmp.trusted` and `snmp.community`; what a flow began with holds to its end. Not taken are the
+    /// addresses listened on, since clients and peers would still use the old ones, the name and the settings,
+    /// on which all that the module has counted rests. `known` and `seed` are for a start: the list held is
+    /// newer than any in the file.
+    pub fn reload(&mut self, new: Config) -> Vec<&'static str> {
+        let left = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("peer_listen", self.peer_listen != new.peer_listen),
+            ("settings", (&self.settings, &self.classes) != (&new.settings, &new.classes)),
+            ("settings.domain.groups", self.groups != new.groups),
+            ("rtmp.listen", self.rtmp.as_ref().map(|r| r.listen) != new.rtmp.as_ref().map(|r| r.listen)),
+            ("snmp.listen", self.snmp.as_ref().map(|s| s.listen) != new.snmp.as_ref().map(|s| s.listen)),
+        ];
+        (self.discovery, self.peers) = (new.discovery, new.peers);
+        if let Some((own, new)) = self.rtmp.as_mut().zip(new.rtmp) {
+            (own.settings, own.trusted) = (new.settings, new.trusted);
+            if !self.classes.contains(&own.settings.class) {
+                // It is one of the new settings, which wait for the next start.
+                own.settings.class = self.classes[0].clone();
+            }
+        }
+        if let Some((own, new)) = self.snmp.as_mut().zip(new.snmp) {
+            own.community = new.community;
+        }
+        left.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
 }
 
 fn rtmp(r: &mut Reader<'_>, classes: &[String]) -> Option<Rtmp> {
--- a/src/front/rtmp/mod.rs
+++ b/src/front/rtmp/mod.rs
@@ -12,7 +12,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -67,7 +66,7 @@
 
 /// One client that speaks RTMP.
 pub struct RtmpFront {
-    settings: Arc<RtmpSettings>,
+    settings: RtmpSettings,
     client: SocketAddr,
     trusted: bool,
     accepted: Option<Millis>,
@@ -84,7 +83,7 @@
 
 impl RtmpFront {
     /// A front for one connection from an address, which may be a trusted front's.
-    pub fn new(settings: Arc<RtmpSettings>, client: SocketAddr, trusted: bool) -> Self {
+    pub fn new(settings: RtmpSettings, client: SocketAddr, trusted: bool) -> Self {
         RtmpFront {
             settings,
             client,
--- a/src/main.rs
+++ b/src/main.rs
@@ -81,7 +81,8 @@
     let failed = |e: std::io::Error| {
         vec![ConfigError { file: "relay".into(), key: "start".into(), reason: e.to_string() }]
     };
-    net::run(config).map_err(failed)
+    let (environment, file) = (environment.clone(), file.map(Path::to_owned));
+    net::run(config, move || Config::load(&environment, file.as_deref())).map_err(failed)
 }
 
 fn check(environment: &Environment, files: &[PathBuf]) -> Result<(), Vec<ConfigError>> {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,24 +10,42 @@
 
 use super::{Shared, span};
 use crate::interface::{ListKind, ServerEntry};
-use crate::target_group::{CALL_TIMEOUT, Response};
+use crate::target_group::{RETRY, Response};
 
-/// Watches whenever the module asks for it, until a call fails.
-pub async fn watch(shared: Rc<Shared>, address: SocketAddr) {
+/// Watches whenever the module asks for it, until a call fails; and at once where discovery has moved.
+pub async fn watch(shared: Rc<Shared>) {
     loop {
-        shared.watch.notified().await;
+        let mut moved = tokio::select! {
+            () = shared.watch.notified() => false,
+            () = shared.moved.notified() => true,
+        };
         // The next call follows an answer at once: within 200 ms it continues the same watch.
         loop {
-            let answer = tokio::time::timeout(span(CALL_TIMEOUT), call(&shared, address)).await;
+            let address = shared.config.borrow().discovery;
+            let limit = span(shared.target_group.borrow().timeout());
+            let answer = tokio::select! {
+                answer = tokio::time::timeout(limit, call(&shared, address)) => answer,
+                // The watch that is out would go on for seconds, and tell of the old place only.
+                () = shared.moved.notified() => {
+                    moved = true;
+                    continue;
+                }
+            };
             match answer.unwrap_or_else(|_| Err("no answer in time".into())) {
                 Ok((kind, entries)) => {
+                    moved = false;
                     for e in &entries {
                         debug!("list: {} {:?}", e.id.0, e.state);
                     }
                     shared.core(|relay, now| relay.list(now, kind, entries));
                 }
                 Err(e) => {
-                    warn!("discovery: {e}");
+                    warn!("discovery at {address}: {e}");
+                    if moved {
+                        // The module may have backed off from the old place for longer than there is time.
+                        tokio::time::sleep(span(RETRY)).await;
+                        continue;
+                    }
                     shared.core(|relay, now| relay.list(now, ListKind::Failed, Vec::new()));
                     break;
                 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,15 +14,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use log::{info, warn};
+use log::{error, info, warn};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{LocalSet, spawn_local};
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::front::line::LineFront;
 use crate::front::rtmp::RtmpFront;
 use crate::interface::{ListKind, Millis};
@@ -68,9 +68,14 @@
     flows: RefCell<HashMap<FlowId, mpsc::UnboundedSender<FlowCommand>>>,
     target_group: RefCell<TargetGroup>,
     pool: Rc<pool::Pool>,
+    /// The module asks for the list.
     watch: Notify,
-    peers: Option<(UdpSocket, Vec<SocketAddr>)>,
+    /// Discovery is at another address.
+    moved: Notify,
+    peers: Option<UdpSocket>,
     connect_timeout: Duration,
+    /// As read last, less what is taken at the next start only.
+    config: RefCell<Config>,
 }
 
 impl Shared {
@@ -136,27 +141,55 @@
 
 /// Goes on serving after SIGTERM: the platform kills the program once every client has had its time, and
 /// whatever still stands then is worth more served than cut off.
-async fn terminated() {
-    if let Ok(mut signal) = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()) {
-        while signal.recv().await.is_some() {
-            info!("SIGTERM: serving on until killed");
+async fn terminated(mut signal: Signal) {
+    while signal.recv().await.is_some() {
+        info!("SIGTERM: serving on until killed");
+    }
+}
+
+/// Takes a new configuration at every SIGHUP, whole or not at all; flows stand whatever it says.
+async fn reload(shared: Rc<Shared>, mut signal: Signal, load: impl Fn() -> Result<Config, Vec<ConfigError>>) {
+    while signal.recv().await.is_some() {
+        match load() {
+            Ok(new) => {
+                let before = shared.config.borrow().discovery;
+                let left = shared.config.borrow_mut().reload(new);
+                let now = shared.config.borrow().discovery;
+                info!("SIGHUP: configuration taken; discovery is at {now}");
+                if !left.is_empty() {
+                    warn!("SIGHUP: changed, but taken at the next start only: {}", left.join(", "));
+                }
+                if before != now {
+                    shared.target_group.borrow_mut().moved();
+                    shared.moved.notify_one();
+                }
+            }
+            Err(faults) => {
+                faults.iter().for_each(|e| error!("{e}"));
+                error!("SIGHUP: the configuration has faults, and the old one is kept");
+            }
         }
     }
 }
 
-/// Runs a relay; returns only when it cannot start.
-pub fn run(config: Config) -> io::Result<()> {
+/// Runs a relay; returns only when it cannot start. `load` reads its configuration anew.
+pub fn run(config: Config, load: impl Fn() -> Result<Config, Vec<ConfigError>> + 'static) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, load))
 }
 
-async fn serve(config: Config) -> io::Result<()> {
+async fn serve(
+    mut config: Config,
+    load: impl Fn() -> Result<Config, Vec<ConfigError>> + 'static,
+) -> io::Result<()> {
+    // Before anything listens: left to its default, either signal ends a program that others already use.
+    let (hangup, terminate) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
     let named = |what: &'static str| move |e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
     // All addresses are taken before anything is served: a relay that lacks one does not start.
     let line = config.listen.map(listen).transpose().map_err(named("listen"))?;
     let rtmp = config.rtmp.as_ref().map(|r| listen(r.listen)).transpose().map_err(named("rtmp.listen"))?;
     let peers = match config.peer_listen {
-        Some(address) => Some((UdpSocket::bind(address).await.map_err(named("peer_listen"))?, config.peers)),
+        Some(address) => Some(UdpSocket::bind(address).await.map_err(named("peer_listen"))?),
         None => None,
     };
     let agent = match &config.snmp {
@@ -165,36 +198,43 @@
     };
     let clock = Clock::new();
     let connect_timeout = span(config.settings.connect_timeout);
-    let relay = Relay::new(config.settings, config.classes, config.seed, clock.now());
+    let relay = Relay::new(config.settings.clone(), config.classes.clone(), config.seed, clock.now());
+    let known = std::mem::take(&mut config.known);
     let shared = Rc::new(Shared {
         clock,
         relay: RefCell::new(relay),
         flows: RefCell::default(),
-        target_group: RefCell::new(config.target_group),
+        target_group: RefCell::new(std::mem::take(&mut config.target_group)),
         pool: Rc::default(),
         watch: Notify::new(),
+        moved: Notify::new(),
         peers,
         connect_timeout,
+        config: RefCell::new(config),
     });
-    shared.core(|relay, now| relay.list(now, ListKind::Cached, config.known));
-    spawn_local(terminated());
+    shared.core(|relay, now| relay.list(now, ListKind::Cached, known));
+    spawn_local(terminated(terminate));
+    spawn_local(reload(shared.clone(), hangup, load));
     spawn_local(tick(shared.clone()));
-    spawn_local(discovery::watch(shared.clone(), config.discovery));
+    spawn_local(discovery::watch(shared.clone()));
     spawn_local(peers::receive(shared.clone()));
-    if let Some((socket, snmp)) = agent.zip(config.snmp) {
-        spawn_local(snmp::answer(shared.clone(), socket, snmp.community));
+    if let Some(socket) = agent {
+        spawn_local(snmp::answer(shared.clone(), socket));
     }
-    if let Some((listener, rtmp)) = rtmp.zip(config.rtmp) {
-        info!("{} listens for RTMP on {}", config.name, rtmp.listen);
-        let (shared, settings) = (shared.clone(), Arc::new(rtmp.settings));
+    let name = shared.config.borrow().name.clone();
+    if let Some(listener) = rtmp {
+        info!("{name} listens for RTMP on {}", listener.local_addr()?);
+        let shared = shared.clone();
         spawn_local(accept(listener, move |client, from| {
-            let front = RtmpFront::new(settings.clone(), from, rtmp.trusted.contains(&from.ip()));
+            // Read for each flow: all of it but the address may be new.
+            let Some(rtmp) = shared.config.borrow().rtmp.clone() else { return };
+            let front = RtmpFront::new(rtmp.settings, from, rtmp.trusted.contains(&from.ip()));
             spawn_local(flow::serve(shared.clone(), client, front));
         }));
     }
-    if let Some((listener, address)) = line.zip(config.listen) {
-        info!("{} listens on {address}", config.name);
-        let groups = config.groups;
+    if let Some(listener) = line {
+        info!("{name} listens on {}", listener.local_addr()?);
+        let groups = shared.config.borrow().groups;
         accept(listener, |client, _| {
             spawn_local(flow::serve(shared.clone(), client, LineFront::new(groups)));
         })
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -11,8 +11,8 @@
 impl Shared {
     /// Sends a message; one that cannot go now is lost, as any datagram may be.
     pub(super) fn tell(&self, peer: u32, message: &Message) {
-        let Some((socket, addresses)) = &self.peers else { return };
-        if let Some(address) = addresses.get(peer as usize) {
+        let Some(socket) = &self.peers else { return };
+        if let Some(address) = self.config.borrow().peers.get(peer as usize) {
             if let Err(e) = socket.try_send_to(&peers::encode(message), *address) {
                 warn!("telling relay {peer}: {e}");
             }
@@ -22,12 +22,12 @@
 
 /// Receives what other relays tell. A bad datagram, or one from elsewhere, is ignored.
 pub async fn receive(shared: Rc<Shared>) {
-    let Some((socket, addresses)) = &shared.peers else { return };
+    let Some(socket) = &shared.peers else { return };
     let mut buffer = [0; peers::BUFFER];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
-                let peer = addresses.iter().position(|a| *a == from);
+                let peer = shared.config.borrow().peers.iter().position(|a| *a == from);
                 if let Some((peer, message)) = peer.zip(peers::decode(&buffer[..length])) {
                     shared.core(|relay, now| relay.told(now, peer as u32, message));
                 }
--- a/src/net/snmp.rs
+++ b/src/net/snmp.rs
@@ -12,13 +12,15 @@
 const QUESTION: usize = 4096;
 
 /// Answers for as long as the program runs.
-pub async fn answer(shared: Rc<Shared>, socket: UdpSocket, community: String) {
+pub async fn answer(shared: Rc<Shared>, socket: UdpSocket) {
     let mut buffer = vec![0; QUESTION];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
                 let view = snmp::view(&shared.relay.borrow());
-                if let Some(answer) = snmp::answer(&buffer[..length], &community, &view) {
+                let config = shared.config.borrow();
+                let Some(agent) = &config.snmp else { return };
+                if let Some(answer) = snmp::answer(&buffer[..length], &agent.community, &view) {
                     // An answer that is lost is asked for again.
                     let _ = socket.try_send_to(&answer, from);
                 }
--- a/src/target_group.rs
+++ b/src/target_group.rs
@@ -16,13 +16,19 @@
 pub const WAIT: Millis = 4000.0;
 /// A watch not answered by then has failed. Discovery fails a call that has queued for 2 s by itself.
 pub const CALL_TIMEOUT: Millis = WAIT + 2500.0;
+/// The whole list is answered at once, after at most those 2 s.
+pub const LIST_TIMEOUT: Millis = 2500.0;
+/// Pause before the next try at a discovery service that has not answered since it was configured: what it
+/// has to tell counts as told 4 s later.
+pub const RETRY: Millis = 250.0;
 /// Most bytes of one answer; a list of thousands of streamers stays far below.
 const ANSWER_BYTES: usize = 4 << 20;
 
 /// The list as this relay has it.
 #[derive(Debug, Default)]
 pub struct TargetGroup {
-    revision: u64,
+    /// The list's version; nothing where it is not known to be this discovery service's.
+    revision: Option<u64>,
     addresses: BTreeMap<ServerId, SocketAddr>,
 }
 
@@ -34,20 +40,31 @@
             return Ok((group, Vec::new()));
         }
         let (_, entries) = group.read(known)?;
+        // It may be of another service: its version says nothing to the one that is asked.
+        group.revision = None;
         Ok((group, entries))
     }
 
+    /// Another service is asked from now on: versions are each service's own.
+    pub fn moved(&mut self) {
+        self.revision = None;
+    }
+
+    /// How long the next call may take.
+    pub fn timeout(&self) -> Millis {
+        if self.revision.is_some() { CALL_TIMEOUT } else { LIST_TIMEOUT }
+    }
+
     /// Where a streamer listens for this relay. One that is gone keeps its address: flows may still name it.
     pub fn address(&self, target: &ServerId) -> Option<SocketAddr> {
         self.addresses.get(target).copied()
     }
 
-    /// The watch for what is newer than the list.
+    /// The call for the whole list, then the watch for what is newer.
     pub fn request(&self, host: &str) -> String {
-        format!(
-            "GET /v1/endpoints?after={}&wait_ms={WAIT:.0} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n",
-            self.revision
-        )
+        let watch =
+            self.revision.map(|after| format!("?after={after}&wait_ms={WAIT:.0}")).unwrap_or_default();
+        format!("GET /v1/endpoints{watch} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n")
     }
 
     /// Takes the body of an answer.
@@ -62,7 +79,7 @@
         let members = value["members"].as_array().ok_or("members: must be a list")?;
         // All are read before any is taken: half a list would hide a drain.
         let read = members.iter().map(member).collect::<Result<Vec<_>, _>>()?;
-        self.revision = revision;
+        self.revision = Some(revision);
         let mut entries = Vec::with_capacity(read.len());
         for (entry, address) in read {
             if let Some(address) = address {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -164,7 +164,7 @@
     pub line: String,
     pub rtmp: String,
     pub snmp: String,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 /// The program's settings, as the platform gives them.
@@ -174,27 +174,33 @@
 "rules":{"askEveryMs":10000.0,"coldFrom":0.31,"warmWithinMs":8600.0,"tipMultiple":3.0},
 "domain":{"groups":true,"messageAimMs":[150.0]}}"#;
 
+/// The platform's file for a relay. What it knows of the list is what discovery has now.
+fn platform(line: &str, peer: &str, discovery: &Discovery) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{line}","discovery":"{}","seed":"1","peer_listen":"{peer}","peers":["{peer}"],
+        "known":{},"settings":{SETTINGS}}}"#,
+        discovery.address,
+        discovery.json(0)
+    )
+}
+
 impl Relay {
     /// Starts a relay that knows what discovery has now, with both fronts and the SNMP agent.
     pub fn start(discovery: &Discovery) -> Relay {
         let (host, folder) = (host(), tempfile::tempdir().unwrap());
         let [line, rtmp, snmp, peer] = [8443, 1935, 1161, 7946].map(|port| format!("{host}:{port}"));
-        let json = format!(
-            r#"{{"name":"n0","listen":"{line}","discovery":"{}","seed":"1","peer_listen":"{peer}","peers":["{peer}"],
-            "known":{},"settings":{SETTINGS}}}"#,
-            discovery.address,
-            discovery.json(0)
-        );
         let file = format!(
             "[rtmp]\nlisten = \"{rtmp}\"\nclass = \"subtitle-stream\"\ntrusted = [\"127.0.0.1\"]\n\
              [snmp]\nlisten = \"{snmp}\"\ncommunity = \"hall\"\n"
         );
         let [config, app] = ["config.json", "app.toml"].map(|name| folder.path().join(name));
-        std::fs::write(&config, json).unwrap();
         std::fs::write(&app, file).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_sandgw"));
-        let child = command.arg("run").arg(app).env("PROXY_CONFIG", config).stderr(Stdio::null()).spawn();
-        let relay = Relay { child: child.unwrap(), line, rtmp, snmp, _folder: folder };
+        std::fs::write(&config, platform(&line, &peer, discovery)).unwrap();
+        let log = std::fs::File::create(folder.path().join("log")).unwrap();
+        command.arg("run").arg(app).env("PROXY_CONFIG", config).env("PROXY_DISCOVERY", &discovery.address);
+        let child = command.stderr(Stdio::from(log)).spawn();
+        let relay = Relay { child: child.unwrap(), line, rtmp, snmp, folder };
         let start = Instant::now();
         while TcpStream::connect(&relay.line).is_err() {
             assert!(start.elapsed() < LONG, "the relay does not start");
@@ -207,6 +213,19 @@
         Client(BufReader::new(connect(&self.line)))
     }
 
+    /// Replaces the platform's configuration, or breaks it where no discovery is given, and says so.
+    pub fn reload(&self, discovery: Option<&Discovery>) {
+        let peer = self.line.replace("8443", "7946");
+        let text = discovery.map_or_else(|| "{".into(), |d| platform(&self.line, &peer, d));
+        std::fs::write(self.folder.path().join("config.json"), text).unwrap();
+        self.signal("HUP");
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap()
+    }
+
     /// Resident memory in KiB.
     pub fn memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
@@ -216,7 +235,12 @@
 
     /// Asks the process to end, as a planned restart does.
     pub fn terminate(&self) {
-        assert!(Command::new("kill").arg(self.child.id().to_string()).status().unwrap().success());
+        self.signal("TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(kill.unwrap().success());
     }
 }
 
--- a/tests/line.rs
+++ b/tests/line.rs
@@ -210,3 +210,36 @@
     assert_eq!(client.send("still?\r\n").line(), "still?");
     assert_eq!(relay.client().open("").line(), "UP 1");
 }
+
+/// SIGHUP once ended the program. It takes the file anew, whole or not at all; what stands goes on; another
+/// discovery service is asked at once for its whole list, whose versions have nothing to do with the old one's.
+#[test]
+fn sighup_takes_a_new_configuration_and_keeps_the_old_one_where_it_is_bad() {
+    let streamers = [Streamer::lines("UP 1\r\n"), Streamer::lines("UP 2\r\n")];
+    let (old, relay) = one(&streamers[0]);
+    // The old place is far ahead in its versions, and its watch is out.
+    for _ in 0..50 {
+        old.set("s-1", &streamers[0].address, "Ready", 0);
+    }
+    let mut client = relay.client();
+    assert_eq!(client.open("").line(), "UP 1");
+    relay.reload(None);
+    until("the fault is logged", || relay.log().contains("config.json: (file): EOF"));
+    assert_eq!(relay.client().open("").line(), "UP 1");
+
+    let new = Discovery::start();
+    new.set("s-2", &streamers[1].address, "Ready", 0);
+    new.down(true);
+    let start = Instant::now();
+    relay.reload(Some(&new));
+    // The first calls fail: it is asked again soon, whatever the module would wait by now.
+    thread::sleep(Duration::from_millis(700));
+    new.down(false);
+    until("the new list is used", || relay.client().open("").line() == "UP 2");
+    assert!(start.elapsed() < Duration::from_secs(4), "used after {:?}", start.elapsed());
+    assert_eq!(client.send("still?\r\n").line(), "still?");
+    // Its watch goes on from there.
+    new.set("s-2", &streamers[1].address, "Terminating", 0);
+    new.set("s-1", &streamers[0].address, "Ready", 0);
+    until("a change is heard of", || relay.client().open("").line() == "UP 1");
+}
