Refuse bad input at the front, count descriptors, let silent connections make room

A probe in front/line.rs logged what bad clients send: unknown classes (subtitle-stream2, _x, -old), d=-5, d=soon, d=, d=99..., ids of open flows with another key, OPEN with an id only, empty and endless lines. Ruled out: real clients never send anything between their line and the answer (none in that log).

At fault: front/line.rs waited 30 s (PATIENCE) for a first line; parse took any class, d below 0, any id; net/mod.rs accepted until the process had no descriptor, also for forwards and discovery.

Change: LineRules knows classes, tenants and open ids; what does not fit is `ERR`, nothing is forwarded. net/admission.rs counts descriptors: one an unheard client, two a flow, 32 for the program; the oldest unheard one makes room (`BUSY MS`). First line within limits.first_line_ms (2 s). After its last word a client may send 64 KiB more, then it is cut off; one accept warning a shortage. The settings are limits.sockets (given by the platform) and limits.first_line_ms. RTMP shares admission and the cut-off; its own patience already ended before the client gave up.

--- a/src/config.rs
+++ b/src/config.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::front::rtmp::RtmpSettings;
-use crate::interface::{ServerEntry, Settings};
+use crate::interface::{Millis, ServerEntry, Settings};
 use crate::target_group::TargetGroup;
 use crate::wire;
 
@@ -57,14 +57,34 @@
     pub settings: Settings,
     /// Names of the settings' classes.
     pub classes: Vec<String>,
+    /// Names of the settings' tenants; none where they name none.
+    pub tenants: Vec<String>,
     /// Whether connections of one group share work.
     pub groups: bool,
+    /// What clients may take up.
+    pub limits: Limits,
     /// The RTMP listener, where an application's file has one.
     pub rtmp: Option<Rtmp>,
     /// The SNMP agent, where an application's file has one.
     pub snmp: Option<Snmp>,
 }
 
+/// What clients may take up before they have asked for anything, and all of them together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Descriptors that the process may hold. The platform says, and it is the usual limit elsewhere.
+    pub sockets: usize,
+    /// How long a client of the line protocol may take for its first line. Clients send it as soon as they
+    /// are connected; one that has not is owed an end within 3 s, of which a busy relay may need some.
+    pub first_line: Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024, first_line: 2000.0 }
+    }
+}
+
 /// The RTMP listener.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rtmp {
@@ -118,6 +138,9 @@
             }
         };
         let seed = platform.seed();
+        let mut limits = Limits::default();
+        limits.read(&mut Reader::new(&base_file, &base["limits"], "limits.", platform.faults));
+        let mut platform = Reader::new(&base_file, &base, "", &mut faults);
         let (mut name, mut listen) = (platform.text("name"), platform.parsed("listen", ADDRESS));
         let mut discovery = platform.parsed("discovery", ADDRESS);
         let (mut peer_listen, mut peers) =
@@ -132,8 +155,11 @@
         name = name.or_else(|| environment.get("PROXY_NAME").cloned());
 
         let mut top = Reader::new(&app_file, &app, "", &mut faults);
-        top.known_keys(&["relay", "rtmp", "snmp", "settings"]);
-        top.tables(&["relay", "rtmp", "snmp", "settings"]);
+        top.known_keys(&["relay", "limits", "rtmp", "snmp", "settings"]);
+        top.tables(&["relay", "limits", "rtmp", "snmp", "settings"]);
+        let mut own_limits = Reader::new(&app_file, &app["limits"], "limits.", &mut faults);
+        own_limits.known_keys(&["sockets", "first_line_ms"]);
+        limits.read(&mut own_limits);
         let mut relay = Reader::new(&app_file, &app["relay"], "relay.", &mut faults);
         relay.known_keys(&["name", "listen", "discovery", "peer_listen", "peers"]);
         name = relay.text("name").or(name);
@@ -194,6 +220,8 @@
                 target_group: known.0,
                 settings: module,
                 classes,
+                tenants: wire::tenant_names(settings),
+                limits,
                 groups: settings["domain"]["groups"].as_bool().unwrap_or(false),
                 rtmp,
                 snmp,
@@ -205,22 +233,27 @@
     /// Takes what a newly read configuration may change under a running relay; names the keys that differ
     /// but are taken at the next start only.
     ///
-    /// Taken are where to ask and whom to believe: `discovery`, `peers`, `rtmp.class`, `rtmp.give_up_ms`,
-    /// `rtmp.trusted` and `snmp.community`; what a flow began with holds to its end. Not taken are the
+    /// Taken are where to ask and whom to believe: `discovery`, `peers`, `limits.first_line_ms`,
+    /// `rtmp.class`, `rtmp.give_up_ms`, `rtmp.trusted` and `snmp.community`; what a flow began with holds to its end. Not taken are the
     /// addresses listened on, since clients and peers would still use the old ones, the name and the settings,
-    /// on which all that the module has counted rests. `known` and `seed` are for a start: the list held is
+    /// on which all that the module has counted rests, and the process's own limit of descriptors. `known` and `seed` are for a start: the list held is
     /// newer than any in the file.
     pub fn reload(&mut self, new: Config) -> Vec<&'static str> {
         let left = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("peer_listen", self.peer_listen != new.peer_listen),
-            ("settings", (&self.settings, &self.classes) != (&new.settings, &new.classes)),
+            (
+                "settings",
+                (&self.settings, &self.classes, &self.tenants) != (&new.settings, &new.classes, &new.tenants),
+            ),
+            ("limits.sockets", self.limits.sockets != new.limits.sockets),
             ("settings.domain.groups", self.groups != new.groups),
             ("rtmp.listen", self.rtmp.as_ref().map(|r| r.listen) != new.rtmp.as_ref().map(|r| r.listen)),
             ("snmp.listen", self.snmp.as_ref().map(|s| s.listen) != new.snmp.as_ref().map(|s| s.listen)),
         ];
         (self.discovery, self.peers) = (new.discovery, new.peers);
+        self.limits.first_line = new.limits.first_line;
         if let Some((own, new)) = self.rtmp.as_mut().zip(new.rtmp) {
             (own.settings, own.trusted) = (new.settings, new.trusted);
             if !self.classes.contains(&own.settings.class) {
@@ -235,6 +268,15 @@
     }
 }
 
+impl Limits {
+    fn read(&mut self, r: &mut Reader<'_>) {
+        // Under the least the program could not hold its own and a few flows.
+        let sockets = r.number("sockets", 64.0, 1_048_576.0);
+        self.sockets = sockets.map_or(self.sockets, |n| n as usize);
+        self.first_line = r.number("first_line_ms", 100.0, 600_000.0).unwrap_or(self.first_line);
+    }
+}
+
 fn rtmp(r: &mut Reader<'_>, classes: &[String]) -> Option<Rtmp> {
     r.known_keys(&["listen", "class", "give_up_ms", "trusted"]);
     let listen = r.needed("listen", ADDRESS);
--- a/src/front/line.rs
+++ b/src/front/line.rs
@@ -1,5 +1,8 @@
 //! The platform's front: lines of text.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
 use std::str;
 use std::sync::Arc;
 
@@ -11,16 +14,36 @@
 
 /// Longest line, with its end.
 const LINE_BYTES: usize = 4096;
-/// How long a connection may stay open without a first line.
-const PATIENCE: Millis = 30_000.0;
+/// No client waits longer than this for its answer; what says so does not mean it.
+const LONGEST_WAIT: Millis = 3_600_000.0;
 /// Enough of a line to tell `BYE` and `MOVE` from others.
 const WORD: usize = 8;
 
-/// One client that speaks lines.
+/// What is alike for all clients that speak lines.
 #[derive(Default)]
-pub struct LineFront {
+pub struct LineRules {
     /// Whether `g` names a group or else the client.
     groups: bool,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    /// Ids of the flows that are open, each with its key.
+    open: RefCell<HashMap<String, String>>,
+}
+
+impl LineRules {
+    /// The classes and tenants that there are; without tenants any will do. `groups`: whether connections of
+    /// one group share work.
+    pub fn new(groups: bool, classes: Vec<String>, tenants: Vec<String>) -> Self {
+        LineRules { groups, classes, tenants, open: RefCell::default() }
+    }
+}
+
+/// One client that speaks lines.
+pub struct LineFront {
+    rules: Rc<LineRules>,
+    patience: Millis,
+    /// Its id, while it is open.
+    id: Option<String>,
     /// The first line without its end.
     first: String,
     /// Start of the streamer's current line, and how many bytes of it have passed.
@@ -33,13 +56,24 @@
 }
 
 impl LineFront {
-    /// A front for one connection. `groups`: whether connections of one group share work.
-    pub fn new(groups: bool) -> Self {
-        LineFront { groups, ..Self::default() }
+    /// A front for one connection, which may take so long for its first line.
+    pub fn new(rules: Rc<LineRules>, patience: Millis) -> Self {
+        LineFront {
+            rules,
+            patience,
+            id: None,
+            first: String::new(),
+            word: Vec::new(),
+            partial: 0,
+            announced: None,
+            asked: None,
+        }
     }
 
-    /// Reads `OPEN ID KEY name=value,...`; nothing of what is malformed.
-    fn parse(&self, now: Millis, line: &str) -> Option<Arrival> {
+    /// Reads `OPEN ID KEY name=value,...`; nothing of what is malformed, names what there is not, or is open
+    /// already. A streamer would refuse it or close on it, which says nothing of the streamer, and the module
+    /// would try the next one with it.
+    fn parse(&mut self, now: Millis, line: &str) -> Option<Arrival> {
         let mut words = line.split(' ');
         let (open, id, key, list) = (words.next()?, words.next()?, words.next()?, words.next()?);
         let plain = line.bytes().all(|b| b.is_ascii_graphic() || b == b' ');
@@ -48,14 +82,22 @@
         }
         let text = |value: &str| Some(Key(Arc::from(value)));
         let mut arrival = Arrival { client: text(key), sent_away: true, ..Arrival::default() };
-        let mut left = None;
+        let (mut left, mut seen) = (None, Vec::new());
         for pair in list.split(',') {
             let (name, value) = pair.split_once('=')?;
-            let number = || value.parse::<f64>().ok().filter(|n| n.is_finite());
+            if seen.contains(&name) {
+                return None;
+            }
+            seen.push(name);
+            let digits = value.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+            let number = || value.parse::<f64>().ok().filter(|_| digits);
             match name {
-                "c" => arrival.class = value.to_owned(),
-                "d" => left = Some(number()?.max(0.0)),
-                "g" if self.groups => arrival.group = text(value),
+                "c" => arrival.class = self.rules.classes.iter().find(|c| *c == value)?.clone(),
+                "d" => left = Some(number().filter(|d| (1.0..=LONGEST_WAIT).contains(d))?),
+                "t" if self.rules.tenants.iter().all(|t| t != value) && !self.rules.tenants.is_empty() => {
+                    return None;
+                }
+                "g" if self.rules.groups => arrival.group = text(value),
                 "g" => arrival.client = text(value),
                 "r" | "again" => arrival.returned |= value == "1",
                 "mid" => arrival.mid_flow = value == "1",
@@ -65,10 +107,29 @@
             }
         }
         arrival.deadline = now + left?;
+        let named = |name| seen.contains(&name);
+        if !named("c") || !named("t") && !self.rules.tenants.is_empty() {
+            return None;
+        }
+        // A connection whose packets took another way may still look open here; nobody else has its key.
+        let mut open = self.rules.open.borrow_mut();
+        if open.get(id).is_some_and(|other| !arrival.mid_flow || other != key) {
+            return None;
+        }
+        open.insert(id.to_owned(), key.to_owned());
+        self.id = Some(id.to_owned());
         Some(arrival)
     }
 }
 
+impl Drop for LineFront {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            self.rules.open.borrow_mut().remove(&id);
+        }
+    }
+}
+
 /// Takes a whole line off the input, without its end.
 fn take_line(input: &mut BytesMut) -> Option<BytesMut> {
     let end = input.iter().position(|b| *b == b'\n')?;
@@ -82,7 +143,7 @@
 
 impl Front for LineFront {
     fn patience(&self) -> Millis {
-        PATIENCE
+        self.patience
     }
 
     fn arrive(&mut self, now: Millis, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive {
@@ -99,14 +160,26 @@
             }
             // Too long or malformed: nothing of it may reach a streamer.
             let Some(arrival) = self.parse(now, line) else {
+                // Not even to be read: whoever sends more than one line does not wait for its answer.
+                input.clear();
                 self.fixed(FixedResponse::Failed, reply);
                 return Arrive::Close;
             };
             self.first = line.to_owned();
+            if !input.is_empty() && !self.speaks_early() {
+                // Hundreds of commands at once are no flow: after its line a client waits for the answer.
+                input.clear();
+                self.fixed(FixedResponse::Failed, reply);
+                return Arrive::Close;
+            }
             return Arrive::Flow(arrival);
         }
     }
 
+    fn speaks_early(&self) -> bool {
+        false
+    }
+
     fn forward(&mut self, left: Millis, out: &mut BytesMut) {
         let left = format!("d={:.0}", left.floor().max(1.0));
         let (head, list) = self.first.rsplit_once(' ').unwrap_or(("", &self.first));
@@ -141,7 +214,7 @@
         let line = match response {
             FixedResponse::Busy(Some(ms)) => format!("BUSY {:.0}\r\n", ms.max(0.0)),
             FixedResponse::Busy(None) => "BUSY\r\n".into(),
-            FixedResponse::Failed => "FAIL\r\n".into(),
+            FixedResponse::Failed => "ERR\r\n".into(),
         };
         reply.extend_from_slice(line.as_bytes());
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -41,6 +41,11 @@
     /// Takes bytes of a client that is not placed yet, and consumes those that it understands.
     fn arrive(&mut self, now: Millis, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive;
 
+    /// Whether a client may go on speaking before it has its answer.
+    fn speaks_early(&self) -> bool {
+        true
+    }
+
     /// Starts a forward that is given up after `left`: writes what the streamer is to see first.
     fn forward(&mut self, left: Millis, out: &mut BytesMut);
 
--- /dev/null
+++ b/src/net/admission.rs
@@ -0,0 +1,124 @@
+//! Who may hold descriptors: every connection's are counted before they are opened.
+//!
+//! A connection that has not asked for anything takes one, a flow two: its client's and its streamer's. Since
+//! nobody has to say anything to connect, those that have not asked only get what is left, and when nothing
+//! is, the one that is here longest makes room: a client of the protocol asks as soon as it is connected.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+/// Descriptors of the program itself: standard streams (3), poller, waker and signals (4), listeners (2),
+/// datagrams (2), discovery's call, a file that is read, one accepted client for each listener (2), and as many
+/// again for what is let go but not closed yet.
+const OWN: usize = 32;
+/// One part in so many is never given to flows: a newcomer must be heard before it can be refused.
+const UNHEARD: usize = 8;
+
+/// Counts descriptors.
+pub struct Admission {
+    limit: usize,
+    used: Cell<usize>,
+    flows: Cell<usize>,
+    next: Cell<u64>,
+    /// Connections that are no flow, oldest first, with what tells them to make room.
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    freed: Notify,
+}
+
+impl Admission {
+    /// For a process that may hold so many.
+    pub fn new(descriptors: usize) -> Rc<Self> {
+        Rc::new(Admission {
+            limit: descriptors.saturating_sub(OWN).max(OWN),
+            used: Cell::new(0),
+            flows: Cell::new(0),
+            next: Cell::new(0),
+            idle: RefCell::default(),
+            freed: Notify::new(),
+        })
+    }
+
+    /// A seat for a client that was just accepted, once there is one.
+    pub async fn seat(self: &Rc<Self>) -> Seat {
+        while self.used.get() >= self.limit {
+            // Flows leave room for others, so somebody is there or already on the way out.
+            self.clear();
+            self.freed.notified().await;
+        }
+        self.used.set(self.used.get() + 1);
+        let seat = Seat {
+            admission: self.clone(),
+            id: self.next.get(),
+            flow: Cell::new(false),
+            room: Rc::default(),
+        };
+        self.next.set(seat.id + 1);
+        self.idle.borrow_mut().insert(seat.id, seat.room.clone());
+        seat
+    }
+
+    /// Tells the oldest of those that are no flow to make room.
+    pub fn clear(&self) {
+        if let Some((_, oldest)) = self.idle.borrow_mut().pop_first() {
+            oldest.notify_one();
+        }
+    }
+
+    fn release(&self, n: usize) {
+        self.used.set(self.used.get() - n);
+        self.freed.notify_one();
+    }
+}
+
+/// One connection's share; given back when dropped.
+pub struct Seat {
+    admission: Rc<Admission>,
+    id: u64,
+    flow: Cell<bool>,
+    room: Rc<Notify>,
+}
+
+impl Seat {
+    /// What is notified when this connection is to make room. It never is while it is a flow.
+    pub fn room(&self) -> Rc<Notify> {
+        self.room.clone()
+    }
+
+    /// The connection asks to be placed and needs a descriptor for its forwards; whether it gets one.
+    pub fn ask(&self) -> bool {
+        let a = &self.admission;
+        let most = (a.limit - a.limit / UNHEARD) / 2;
+        // One that was told to make room is on its way out.
+        if a.flows.get() >= most || a.idle.borrow_mut().remove(&self.id).is_none() {
+            return false;
+        }
+        self.flow.set(true);
+        a.flows.set(a.flows.get() + 1);
+        a.used.set(a.used.get() + 1);
+        if a.used.get() > a.limit {
+            a.clear();
+        }
+        true
+    }
+
+    /// The flow has ended and its streamer's connection with it; the client's last word is still to go out.
+    pub fn answered(&self) {
+        if self.flow.replace(false) {
+            let a = &self.admission;
+            a.flows.set(a.flows.get() - 1);
+            a.release(1);
+            a.idle.borrow_mut().insert(self.id, self.room.clone());
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.answered();
+        self.admission.idle.borrow_mut().remove(&self.id);
+        self.admission.release(1);
+    }
+}
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
+use super::admission::Seat;
 use super::pool::Pooled;
 use super::{Shared, span};
 use crate::front::{Answer, Arrive, Front};
@@ -20,6 +21,9 @@
 
 /// How long a last word may take to reach a client, and the client to close after it.
 const LINGER: Duration = Duration::from_millis(500);
+/// Most that a client may go on sending after its last word before it is cut off, which is all the same to one
+/// that sends at full speed what nobody reads.
+const LINGER_BYTES: usize = 64 * 1024;
 /// How long one side may go on after the other has ended.
 const HALF_OPEN: Duration = Duration::from_secs(3);
 /// A streamer that has left a message unanswered for so long is silent: it has vanished, and its client is
@@ -30,13 +34,24 @@
 /// How long a client that is told to move is kept for the end of a message that the streamer has begun.
 const BOUNDARY: Duration = Duration::from_millis(500);
 
-/// Serves a client until its connection has ended.
-pub async fn serve<F: Front>(shared: Rc<Shared>, client: TcpStream, front: F) {
+/// Serves a client until its connection has ended, or has to make room for another.
+pub async fn serve<F: Front>(shared: Rc<Shared>, client: TcpStream, front: F, seat: Seat) {
     let accepted = shared.clock.now();
     let _ = client.set_nodelay(true);
     let (input, reply) = (shared.pool.get(), shared.pool.get());
-    let session = Session { shared, client, front, input, reply };
-    if let Err(e) = session.run(accepted).await {
+    let room = seat.room();
+    let mut session = Session { shared, client, front, input, reply, seat, answered: false };
+    let ended = tokio::select! {
+        biased;
+        () = room.notified() => {
+            if !session.answered {
+                session.front.fixed(FixedResponse::Busy(session.shared.retry_after), &mut session.reply);
+            }
+            session.reply.flush(&session.client)
+        }
+        ended = session.run(accepted) => ended,
+    };
+    if let Err(e) = ended {
         debug!("client: {e}");
     }
 }
@@ -49,6 +64,9 @@
     input: Pooled,
     /// For the client.
     reply: Pooled,
+    seat: Seat,
+    /// It has its final answer.
+    answered: bool,
 }
 
 /// Takes a flow's entry out of the command table when its driver ends, however it ends.
@@ -68,7 +86,7 @@
 }
 
 impl<F: Front> Session<F> {
-    async fn run(mut self, accepted: Millis) -> io::Result<()> {
+    async fn run(&mut self, accepted: Millis) -> io::Result<()> {
         let limit = self.shared.clock.at(accepted + self.front.patience());
         let arrival = loop {
             let now = self.shared.clock.now();
@@ -89,6 +107,10 @@
                 }
             }
         };
+        if !self.seat.ask() {
+            self.front.fixed(FixedResponse::Busy(self.shared.retry_after), &mut self.reply);
+            return self.close().await;
+        }
         let deadline = arrival.deadline;
         let (sender, mut commands) = unbounded_channel();
         let id = self.shared.relay.borrow_mut().arrive(self.shared.clock.now(), arrival);
@@ -118,10 +140,11 @@
     ) -> io::Result<Placed> {
         let shared = self.shared.clone();
         let limit = shared.clock.at(deadline);
+        let early = self.front.speaks_early();
         loop {
             let command = tokio::select! {
                 command = commands.recv() => command,
-                () = gone(&self.client, &mut self.input) => return Ok(Placed::Left),
+                () = gone(&self.client, &mut self.input, early) => return Ok(Placed::Left),
                 () = sleep_until(limit) => {
                     shared.core(|relay, now| relay.overdue(now, id));
                     commands.recv().await
@@ -139,7 +162,7 @@
                 None => Err(Outcome::NotSent),
                 Some(address) => tokio::select! {
                     up = forward(&shared, &mut self.front, address, until) => up,
-                    () = gone(&self.client, &mut self.input) => return Ok(Placed::Left),
+                    () = gone(&self.client, &mut self.input, early) => return Ok(Placed::Left),
                     // The core has answered for a flow that was overdue.
                     Some(FlowCommand::Answer(response)) = commands.recv() => {
                         return Ok(Placed::Answered(response));
@@ -164,26 +187,31 @@
     }
 
     /// Writes the last word and closes, in a way that the client gets to read it.
-    async fn close(mut self) -> io::Result<()> {
+    async fn close(&mut self) -> io::Result<()> {
+        self.seat.answered();
+        self.answered = true;
         if self.front.resets() {
             return reset(&self.client);
         }
         timeout(LINGER, self.client.write_all_buf(&mut *self.reply)).await??;
         self.client.shutdown().await?;
         let drained = async {
-            loop {
+            let mut read = 0;
+            while read < LINGER_BYTES {
                 self.input.clear();
-                if more(&self.client, &mut self.input).await? == 0 {
-                    return io::Result::Ok(());
+                match more(&self.client, &mut self.input).await? {
+                    0 => break,
+                    n => read += n,
                 }
             }
+            io::Result::Ok(())
         };
         timeout(LINGER, drained).await?
     }
 
     /// Passes everything on, both ways, until both sides have ended.
     async fn stand(
-        mut self,
+        &mut self,
         id: FlowId,
         streamer: TcpStream,
         first: Pooled,
@@ -288,7 +316,7 @@
     Up(TcpStream, Pooled),
     /// No streamer takes it.
     Answered(FixedResponse),
-    /// Its client has ended the connection, or its sending on it.
+    /// Its client has ended the connection, or its sending on it, or does not wait for its answer.
     Left,
 }
 
@@ -391,10 +419,11 @@
     }
 }
 
-/// Waits until a client that waits for its answer ends the connection; keeps what it sends early.
-async fn gone(client: &TcpStream, input: &mut Pooled) {
+/// Waits until a client that waits for its answer ends the connection, or speaks where it may not; keeps what
+/// it may send early.
+async fn gone(client: &TcpStream, input: &mut Pooled, early: bool) {
     while input.room() > 0 {
-        if !matches!(more(client, input).await, Ok(n) if n > 0) {
+        if !matches!(more(client, input).await, Ok(n) if n > 0 && early) {
             return;
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! Everything runs on one thread. The core's state is one [`RefCell`], borrowed for the length of one call and
 //! never across an await.
 
+mod admission;
 mod discovery;
 mod flow;
 mod peers;
@@ -22,8 +23,9 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{LocalSet, spawn_local};
 
+use self::admission::{Admission, Seat};
 use crate::config::{Config, ConfigError};
-use crate::front::line::LineFront;
+use crate::front::line::{LineFront, LineRules};
 use crate::front::rtmp::RtmpFront;
 use crate::interface::{ListKind, Millis};
 use crate::relay::{Command, FlowCommand, FlowId, Relay};
@@ -31,7 +33,8 @@
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// Pause before the next accept when there is no descriptor for it: one is free once any flow ends.
+/// Pause before the next accept when there is no descriptor for it, though they are counted: the process has
+/// fewer than its configuration says.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often round trips are summed up for the module.
 const TICK: Duration = Duration::from_secs(1);
@@ -74,6 +77,8 @@
     moved: Notify,
     peers: Option<UdpSocket>,
     connect_timeout: Duration,
+    /// When a client that is turned away for want of descriptors is to come again.
+    retry_after: Option<Millis>,
     /// As read last, less what is taken at the next start only.
     config: RefCell<Config>,
 }
@@ -125,14 +130,26 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts for as long as the program runs. Out of descriptors, it waits for one: clients wait in the backlog.
-async fn accept(listener: TcpListener, serve: impl Fn(tokio::net::TcpStream, SocketAddr)) {
+/// Accepts for as long as the program runs.
+async fn accept(
+    admission: Rc<Admission>,
+    listener: TcpListener,
+    serve: impl Fn(tokio::net::TcpStream, SocketAddr, Seat),
+) {
+    let mut short = false;
     loop {
         match listener.accept().await {
-            Ok((client, from)) => serve(client, from),
+            Ok((client, from)) => {
+                short = false;
+                serve(client, from, admission.seat().await);
+            }
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(e) => {
-                warn!("accept: {e}");
+                // Once for each shortage: the log is not to grow with those who cause it.
+                if !std::mem::replace(&mut short, true) {
+                    warn!("accept: {e}");
+                }
+                admission.clear();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -198,6 +215,8 @@
     };
     let clock = Clock::new();
     let connect_timeout = span(config.settings.connect_timeout);
+    let (admission, retry_after) = (Admission::new(config.limits.sockets), config.settings.max_retry_after);
+    let rules = Rc::new(LineRules::new(config.groups, config.classes.clone(), config.tenants.clone()));
     let relay = Relay::new(config.settings.clone(), config.classes.clone(), config.seed, clock.now());
     let known = std::mem::take(&mut config.known);
     let shared = Rc::new(Shared {
@@ -210,6 +229,7 @@
         moved: Notify::new(),
         peers,
         connect_timeout,
+        retry_after,
         config: RefCell::new(config),
     });
     shared.core(|relay, now| relay.list(now, ListKind::Cached, known));
@@ -225,18 +245,18 @@
     if let Some(listener) = rtmp {
         info!("{name} listens for RTMP on {}", listener.local_addr()?);
         let shared = shared.clone();
-        spawn_local(accept(listener, move |client, from| {
+        spawn_local(accept(admission.clone(), listener, move |client, from, seat| {
             // Read for each flow: all of it but the address may be new.
             let Some(rtmp) = shared.config.borrow().rtmp.clone() else { return };
             let front = RtmpFront::new(rtmp.settings, from, rtmp.trusted.contains(&from.ip()));
-            spawn_local(flow::serve(shared.clone(), client, front));
+            spawn_local(flow::serve(shared.clone(), client, front, seat));
         }));
     }
     if let Some(listener) = line {
         info!("{name} listens on {}", listener.local_addr()?);
-        let groups = shared.config.borrow().groups;
-        accept(listener, |client, _| {
-            spawn_local(flow::serve(shared.clone(), client, LineFront::new(groups)));
+        accept(admission, listener, |client, _, seat| {
+            let front = LineFront::new(rules.clone(), shared.config.borrow().limits.first_line);
+            spawn_local(flow::serve(shared.clone(), client, front, seat));
         })
         .await;
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -364,6 +364,10 @@
     list(boot, "lanes").iter().map(|c| string(c, "name")).collect()
 }
 
+pub(crate) fn tenant_names(boot: &Value) -> Vec<String> {
+    list(boot, "realms").iter().map(|t| string(t, "name")).collect()
+}
+
 /// Reads the settings; the relay on sockets is given them in the same shape.
 pub(crate) fn settings(boot: &Value) -> Result<Settings, String> {
     if !boot.is_object() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -168,16 +168,16 @@
 }
 
 /// The program's settings, as the platform gives them.
-pub const SETTINGS: &str = r#"{"discovery":"on_request","nInstances":2,"me":0,"resolutionMs":2.0,
+pub const SETTINGS: &str = r#"{"realms":[{"name":"acme"},{"name":"me"}],"discovery":"on_request","nInstances":2,"me":0,"resolutionMs":2.0,
 "lanes":[{"name":"subtitle-stream","semantics":"safe","aimMs":500.0,"hardLimitMs":3000.0,"worth":1.0}],
 "limits":{"maxAttempts":5,"connectTimeoutMs":200.0,"retryAfter":true,"maxRetryAfterMs":1500.0,"peerMessages":true},
 "rules":{"askEveryMs":10000.0,"coldFrom":0.31,"warmWithinMs":8600.0,"tipMultiple":3.0},
 "domain":{"groups":true,"messageAimMs":[150.0]}}"#;
 
 /// The platform's file for a relay. What it knows of the list is what discovery has now.
-fn platform(line: &str, peer: &str, discovery: &Discovery) -> String {
+fn platform(line: &str, peer: &str, discovery: &Discovery, sockets: u32) -> String {
     format!(
-        r#"{{"name":"n0","listen":"{line}","discovery":"{}","seed":"1","peer_listen":"{peer}","peers":["{peer}"],
+        r#"{{"name":"n0","limits":{{"sockets":{sockets}}},"listen":"{line}","discovery":"{}","seed":"1","peer_listen":"{peer}","peers":["{peer}"],
         "known":{},"settings":{SETTINGS}}}"#,
         discovery.address,
         discovery.json(0)
@@ -187,6 +187,11 @@
 impl Relay {
     /// Starts a relay that knows what discovery has now, with both fronts and the SNMP agent.
     pub fn start(discovery: &Discovery) -> Relay {
+        Self::start_with(discovery, 1024)
+    }
+
+    /// The same, with so many descriptors.
+    pub fn start_with(discovery: &Discovery, sockets: u32) -> Relay {
         let (host, folder) = (host(), tempfile::tempdir().unwrap());
         let [line, rtmp, snmp, peer] = [8443, 1935, 1161, 7946].map(|port| format!("{host}:{port}"));
         let file = format!(
@@ -195,8 +200,14 @@
         );
         let [config, app] = ["config.json", "app.toml"].map(|name| folder.path().join(name));
         std::fs::write(&app, file).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sandgw"));
-        std::fs::write(&config, platform(&line, &peer, discovery)).unwrap();
+        let mut command = Command::new("sh");
+        // It is held to what it is told that it may hold.
+        command.args([
+            "-c",
+            &format!("ulimit -n {sockets}; exec \"$0\" \"$@\""),
+            env!("CARGO_BIN_EXE_sandgw"),
+        ]);
+        std::fs::write(&config, platform(&line, &peer, discovery, sockets)).unwrap();
         let log = std::fs::File::create(folder.path().join("log")).unwrap();
         command.arg("run").arg(app).env("PROXY_CONFIG", config).env("PROXY_DISCOVERY", &discovery.address);
         let child = command.stderr(Stdio::from(log)).spawn();
@@ -216,7 +227,7 @@
     /// Replaces the platform's configuration, or breaks it where no discovery is given, and says so.
     pub fn reload(&self, discovery: Option<&Discovery>) {
         let peer = self.line.replace("8443", "7946");
-        let text = discovery.map_or_else(|| "{".into(), |d| platform(&self.line, &peer, d));
+        let text = discovery.map_or_else(|| "{".into(), |d| platform(&self.line, &peer, d, 1024));
         std::fs::write(self.folder.path().join("config.json"), text).unwrap();
         self.signal("HUP");
     }
@@ -269,8 +280,10 @@
 
     /// Opens a connection that asks to be placed.
     pub fn open(&mut self, more: &str) -> &mut Client {
+        static NEXT: AtomicU32 = AtomicU32::new(1);
+        let id = NEXT.fetch_add(1, Ordering::Relaxed);
         self.send(&format!(
-            "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=subtitle-stream,t=acme,d=2000{more}\r\n"
+            "OPEN 9b1f03aa{id:08x} 7f3a9c21e0b4d655 c=subtitle-stream,t=acme,d=2000{more}\r\n"
         ))
     }
 
--- a/tests/line.rs
+++ b/tests/line.rs
@@ -46,10 +46,10 @@
 }
 
 #[test]
-fn what_is_malformed_or_too_long_fails_and_reaches_no_streamer() {
+fn what_is_malformed_or_too_long_is_an_error_and_reaches_no_streamer() {
     let streamer = Streamer::lines("UP 17\r\n");
     let (_discovery, relay) = one(&streamer);
-    let long = format!("OPEN 1 2 c=subtitle-stream,d=2000,x={}", "y".repeat(4096));
+    let long = format!("OPEN 1 2 c=subtitle-stream,t=acme,d=2000,x={}", "y".repeat(4096));
     let lines = [
         "HELLO",
         "OPEN 1 2",
@@ -58,13 +58,81 @@
         "OPEN 1  d=5",
         &long,
         "\u{e9}",
+        "",
+        "OPEN 1 2 d=2000",
+        "OPEN 1 2 c=subtitle-stream2,t=acme,d=2000",
+        "OPEN 1 2 c=subtitle-stream,t=nobody,d=2000",
+        "OPEN 1 2 c=subtitle-stream,d=2000",
+        "OPEN 1 2 c=subtitle-stream,t=acme,d=-5",
+        "OPEN 1 2 c=subtitle-stream,t=acme,d=",
+        "OPEN 1 2 c=subtitle-stream,t=acme,d=NaN",
+        "OPEN 1 2 c=subtitle-stream,t=acme,d=99999999999999999999",
+        "OPEN 1 2 c=subtitle-stream,t=acme,d=2000,d=2000",
+        "OPEN 1 2 c=subtitle-stream,t=acme,d=2000\r\nOPEN 2 2 c=subtitle-stream,t=acme,d=2000",
     ];
     for line in lines {
         let mut client = relay.client();
         let answers = [client.send(line).send("\r\n").line(), client.line()];
-        assert_eq!(answers, ["FAIL", "(end)"], "{line}");
+        assert_eq!(answers, ["ERR", "(end)"], "{line}");
     }
     assert_eq!(streamer.seen(), Vec::<String>::new());
+    // The id of another client's open flow, whatever else is said with it; it is free once that has ended.
+    let mut first = relay.client();
+    assert_eq!(first.send("OPEN 5 2 c=subtitle-stream,t=acme,d=2000\r\n").line(), "UP 17");
+    let again = || relay.client().send("OPEN 5 3 c=subtitle-stream,t=acme,d=2000\r\n").line();
+    assert_eq!(again(), "ERR");
+    assert_eq!(first.send("bye\r\n").rest(), "BYE\r\n");
+    until("the id is free", || again() == "UP 17");
+}
+
+/// Connections that say nothing once took all descriptors: nobody else was accepted, and forwards failed. Now
+/// the longest silent makes room, each is ended in time, and what is turned away gets a `BUSY`.
+#[test]
+fn silent_connections_make_room_and_are_ended_in_time() {
+    let streamer = Streamer::lines("UP 1\r\n");
+    let discovery = Discovery::start();
+    discovery.set("s-1", &streamer.address, "Ready", 0);
+    let relay = Relay::start_with(&discovery, 96);
+    let start = Instant::now();
+    let mut silent: Vec<_> = (0..200).map(|_| relay.client()).collect();
+    let mut flow = relay.client();
+    assert_eq!(flow.send("OPEN 1 2 c=subtitle-stream,t=acme,d=3000\r\n").line(), "UP 1");
+    assert_eq!(silent[0].line(), "BUSY 1500", "the first to come has made room");
+    // Half a line, and then nothing, is no more.
+    silent[199].send("OPEN 7 7 c=subti");
+    assert_eq!(silent[199].line(), "ERR");
+    assert!(start.elapsed() < Duration::from_secs(6), "ended after {:?}", start.elapsed());
+    // Flows are bounded too: what is over that is refused, not left waiting.
+    let mut flows: Vec<_> = (10..60).map(|id| (id, relay.client())).collect();
+    let answers = flows
+        .iter_mut()
+        .map(|(id, client)| client.send(&format!("OPEN {id} 2 c=subtitle-stream,t=acme,d=3000\r\n")).line());
+    let answers: Vec<_> = answers.collect();
+    assert!(answers.iter().all(|a| a == "UP 1" || a == "BUSY 1500"), "{answers:?}");
+    assert!(answers.contains(&"BUSY 1500".into()) && answers[0] == "UP 1", "{answers:?}");
+    assert_eq!(flow.send("still?\r\n").line(), "still?");
+}
+
+/// A client that sends without end is cut off soon after its answer, and costs no memory.
+#[test]
+fn an_endless_line_is_answered_and_cut_off() {
+    let streamer = Streamer::lines("UP 1\r\n");
+    let (_discovery, relay) = one(&streamer);
+    let before = relay.memory();
+    let clients: Vec<_> = (0..8).map(|_| relay.client()).collect();
+    let senders = clients.into_iter().map(|client| {
+        thread::spawn(move || {
+            let start = Instant::now();
+            let data = vec![b'k'; 1 << 20];
+            let whole = (0..60).all(|_| client.0.get_ref().write_all(&data).is_ok());
+            (whole, start.elapsed())
+        })
+    });
+    for sender in senders.collect::<Vec<_>>() {
+        let (whole, took) = sender.join().unwrap();
+        assert!(!whole && took < Duration::from_secs(6), "{whole} after {took:?}");
+    }
+    assert!(relay.memory() < before + 4096, "from {before} to {} KiB", relay.memory());
 }
 
 #[test]
@@ -94,7 +162,7 @@
     let relay = Relay::start(&discovery);
     let start = Instant::now();
     let mut client = relay.client();
-    let answer = client.send("OPEN 1 2 c=subtitle-stream,d=19000\r\n").line();
+    let answer = client.send("OPEN 1 2 c=subtitle-stream,t=acme,d=19000\r\n").line();
     assert!(start.elapsed() < LONG / 2, "held for {:?}", start.elapsed());
     let sends: usize =
         streamers.iter().map(|s| s.seen().iter().filter(|l| l.starts_with("OPEN")).count()).sum();
