Tell streamers short of power by their set-ups; copy a group rather than hold a request

Checked against the sockets: 5,000 returned lines, none took over 1 ms, also there; so on sockets relay.rs `tick` never has a slow message to report, and the module is blind. Set-ups are not: 80 to 175 ms there against 9 to 30 ms elsewhere, growing with what is piled up.

At fault: rules.rs `opened` used `elapsed` only against the aim of 500 ms. Now the quickest set-up of a second is kept for each server; what it takes beyond the median of all (and beyond as much again, so that a slow store counts for nobody) is treated as the delay of a message. Mid-flow arrivals are no set-ups and left out. The new test found a second fault: with all servers of a group's plan at their caps, `choose` held a request until its client gave up while others stood idle. It now gets a copy of the group, unless many are slow or set-ups late, when a copy adds to the jam.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,14 @@
 const SHED: f64 = 0.5;
 /// Slow messages are reported once a second; a server unmentioned for longer than this is calm.
 const SLOW_FOR: Millis = 1500.0;
+/// Set-ups are told by the quickest of this long, since several at once wait for each other; they say something
+/// of their server for the longer span.
+const QUICKEST_OF: Millis = 1000.0;
+const SETUP_KNOWN: Millis = 5000.0;
 /// Above this share of late set-ups and errors the fault is common to all servers.
 const COMMON: f64 = 0.5;
+/// Up to this share they are the exception.
+const FEW: f64 = 0.1;
 /// Cut of a server's cap at a jam, and its growth in a calm second.
 const CUT: f64 = 0.75;
 const REGROW: f64 = 1.08;
@@ -117,7 +123,9 @@
                 self.ledger.conns.insert(id, conn);
                 self.ledger.hold(id, server);
             }
-            Event::Established { request, attempt, elapsed } => self.opened(now, request, attempt, elapsed),
+            Event::Established { request, attempt, elapsed } => {
+                self.opened(now, request, attempt, elapsed, out);
+            }
             Event::Ended { request, attempt, server, outcome, finished } => {
                 if self.ledger.conns.get(&request).is_some_and(|c| c.attempts == attempt.0 + 1) {
                     self.ended(now, request, server, (outcome, finished), out);
@@ -451,7 +459,11 @@
         // Under one connection a cap is a share of the keys: many balancers would send one each.
         let share = |s: &Server| if s.conns.is_empty() { conn.load * key } else { conn.load };
         let room = |s: &Server| s.load + share(s) <= cap(s, now, self.per_server());
-        up.retain(|i| *i < among && room(server(i)));
+        up.retain(|i| room(server(i)));
+        // A copy is better than to be held until the client gives up, unless many are slow or set-ups late.
+        if self.late_share > FEW || self.crowded(now) || up.iter().any(|i| *i < among) {
+            up.retain(|i| *i < among);
+        }
         let calm = up.iter().find(|i| now - server(i).slow_at > SLOW_FOR);
         calm.or(up.first()).map(|i| id(i).clone())
     }
@@ -502,21 +514,45 @@
         self.queue.remove(&id);
     }
 
-    fn opened(&mut self, now: Millis, id: RequestId, attempt: AttemptId, elapsed: Millis) {
+    fn opened(&mut self, now: Millis, id: RequestId, attempt: AttemptId, elapsed: Millis, out: &mut Actions) {
         let current = |c: &&Conn| c.attempts == attempt.0 + 1 && c.stage == Stage::Trying;
         let Some(conn) = self.ledger.conns.get(&id).filter(current) else { return };
+        let anew = !conn.request.mid_flow;
         if elapsed <= self.aim(&conn.request) {
             self.late_share -= self.late_share / 4.0;
             self.window += 1.0 / self.window;
         }
-        if let Some(s) = conn.server.as_ref().and_then(|id| self.ledger.servers.get_mut(id)) {
+        let server = conn.server.clone();
+        if let Some(s) = server.as_ref().and_then(|id| self.ledger.servers.get_mut(id)) {
             s.failures = 0;
+            if anew {
+                let (since, quickest) = s.setup;
+                let new = now - since > QUICKEST_OF;
+                s.setup = if new { (now, elapsed) } else { (since, quickest.min(elapsed)) };
+            }
             if std::mem::take(&mut s.down) && s.started < now - self.settings.warm_within {
                 // The list is late: a server that was down and answers has just started, and is cold.
                 s.started = now;
             }
         }
         self.ledger.stage(id, Stage::Open);
+        if let Some(server) = server.filter(|_| anew) {
+            let lag = self.lag(now, &server);
+            self.delayed(now, &server, lag, out);
+        }
+    }
+
+    /// How much longer set-ups take at a server than at most others: the work piled up there, which messages
+    /// wait behind as well. What the store adds is common to all, and no sign of it counts as one.
+    fn lag(&self, now: Millis, server: &ServerId) -> Millis {
+        let known = self.ring.iter().map(|id| self.ledger.servers[id].setup);
+        let mut all: Vec<f64> = known.filter(|s| now - s.0 < SETUP_KNOWN).map(|s| s.1).collect();
+        all.sort_by(f64::total_cmp);
+        let (Some(usual), Some(s)) = (all.get(all.len() / 2), self.ledger.servers.get(server)) else {
+            return 0.0;
+        };
+        let lag = s.setup.1 - usual;
+        if lag > *usual { lag } else { 0.0 }
     }
 
     fn ended(&mut self, now: Millis, id: RequestId, at: ServerId, end: (Outcome, bool), out: &mut Actions) {
@@ -595,7 +631,6 @@
     }
 
     fn note(&mut self, now: Millis, id: RequestId, note: Note, out: &mut Actions) {
-        let per_server = self.per_server();
         let Some(conn) = self.ledger.conns.get(&id) else { return };
         match note {
             Note::Load(level) => {
@@ -605,24 +640,30 @@
                 }
             }
             Note::Delay(level) => {
-                let aims = self.settings.classes.iter().filter_map(|c| c.message_aim);
-                let aim = aims.fold(f64::INFINITY, f64::min);
-                let Some(server) = conn.server.clone().filter(|_| level > aim / 3.0) else { return };
-                let Some(s) = self.ledger.servers.get_mut(&server) else { return };
-                (s.cap, s.slow_at) = (cap(s, now, per_server).min(s.load), now);
-                if level > aim {
-                    jam(s, now, per_server, CUT.min(2.0 * aim / level));
-                    // Nothing on this server is worth anything: the clients that give least for their load
-                    // are asked to come again. A share of own load, so that many balancers do not empty it.
-                    if self.random() < SHED * self.ledger.servers[&server].load {
-                        let held = self.ledger.servers[&server].conns.iter();
-                        let held = held.map(|id| &self.ledger.conns[id]).filter(|c| c.stage == Stage::Open);
-                        let least = held.min_by(|a, b| self.worth(a).total_cmp(&self.worth(b)));
-                        out.extend(least.map(|c| Action::Move(c.request.id)));
-                        // It will leave by itself, too: both together count as a fault.
-                        self.faults += (1.0 - self.faults) / 4.0;
-                    }
-                }
+                let server = conn.server.clone();
+                server.into_iter().for_each(|s| self.delayed(now, &s, level, out));
+            }
+        }
+    }
+
+    /// Messages wait for so long at a server.
+    fn delayed(&mut self, now: Millis, server: &ServerId, level: Millis, out: &mut Actions) {
+        let per_server = self.per_server();
+        let aims = self.settings.classes.iter().filter_map(|c| c.message_aim);
+        let aim = aims.fold(f64::INFINITY, f64::min);
+        let Some(s) = self.ledger.servers.get_mut(server).filter(|_| level > aim / 3.0) else { return };
+        (s.cap, s.slow_at) = (cap(s, now, per_server).min(s.load), now);
+        if level > aim {
+            jam(s, now, per_server, CUT.min(2.0 * aim / level));
+            // Nothing on this server is worth anything: the clients that give least for their load
+            // are asked to come again. A share of own load, so that many balancers do not empty it.
+            if self.random() < SHED * self.ledger.servers[server].load {
+                let held = self.ledger.servers[server].conns.iter();
+                let held = held.map(|id| &self.ledger.conns[id]).filter(|c| c.stage == Stage::Open);
+                let least = held.min_by(|a, b| self.worth(a).total_cmp(&self.worth(b)));
+                out.extend(least.map(|c| Action::Move(c.request.id)));
+                // It will leave by itself, too: both together count as a fault.
+                self.faults += (1.0 - self.faults) / 4.0;
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,8 @@
     /// When messages were last reported slow, and when the cap was last cut.
     pub slow_at: Millis,
     pub cut_at: Millis,
+    /// Since when set-ups here are looked at, and the quickest since.
+    pub setup: (Millis, Millis),
     /// Failures in a row, and until when it is skipped for them.
     pub failures: u32,
     pub skip_until: Millis,
@@ -70,6 +72,7 @@
             cap: f64::INFINITY,
             slow_at: f64::NEG_INFINITY,
             cut_at: f64::NEG_INFINITY,
+            setup: (f64::NEG_INFINITY, 0.0),
             failures: 0,
             skip_until: f64::NEG_INFINITY,
             down: false,
--- a/tests/line.rs
+++ b/tests/line.rs
@@ -311,3 +311,36 @@
     new.set("s-1", &streamers[0].address, "Ready", 0);
     until("a change is heard of", || relay.client().open("").line() == "UP 1");
 }
+
+/// A streamer that is short of power keeps answering messages at once on sockets; only its set-ups grow slow.
+/// It once kept its whole share of new flows.
+#[test]
+fn a_streamer_whose_set_ups_are_slow_gets_few_flows_and_gives_some_up() {
+    let slow = Streamer::start(|stream, log| {
+        let mut lines = BufReader::new(stream.try_clone().unwrap());
+        lines.read_line(&mut String::new()).unwrap();
+        note(log, "OPEN");
+        thread::sleep(Duration::from_millis(300));
+        (&stream).write_all(b"UP 1\r\n").unwrap();
+        let _ = lines.read_line(&mut String::new());
+    });
+    let quick = [(); 3].map(|()| Streamer::lines("UP 2\r\n"));
+    let discovery = Discovery::start();
+    discovery.set("s-0", &slow.address, "Ready", 0);
+    for (i, s) in quick.iter().enumerate() {
+        discovery.set(&format!("s-{}", i + 1), &s.address, "Ready", 0);
+    }
+    let relay = Relay::start(&discovery);
+    let mut clients = Vec::new();
+    let mut answers = Vec::new();
+    for group in 0..80 {
+        clients.push(relay.client());
+        answers.push(clients[group].open(&format!(",g={group}")).line());
+    }
+    assert!(answers.iter().all(|a| a.starts_with("UP")), "{answers:?}");
+    // A quarter would be its share.
+    assert!((1..12).contains(&slow.seen().len()), "{} flows were sent there", slow.seen().len());
+    let mut held = clients.iter_mut().zip(answers).filter(|(_, a)| a == "UP 1");
+    let (first, _) = held.next().unwrap();
+    assert_eq!(first.line(), "MOVE");
+}
