--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,8 @@
 const SHED: f64 = 0.5;
 /// Slow messages are reported once a second; a server unmentioned for longer than this is calm.
 const SLOW_FOR: Millis = 1500.0;
-/// Set-ups are told by the quickest of this long, since several at once wait for each other; they say something
-/// of their server for the longer span.
+/// Set-ups are told by the quickest of this long, since several at once wait for each other; they say
+/// something of their server for the longer span.
 const QUICKEST_OF: Millis = 1000.0;
 const SETUP_KNOWN: Millis = 5000.0;
 /// Above this share of late set-ups and errors the fault is common to all servers.
