Relays tell each other where connections stand, so that mid-flow arrivals find their streamer

Cause: rules.rs `choose` sent a mid-flow arrival to the first server along the table. That is not where it is after a return (drawn by the request's id, which no other relay can know), a split of its group or a change of caps, and a relay that has started again knows none of that. Ruled out: the core (`at` is kept) and the front (mid=1 read as it should be).

Change: with `domain.mode` "pass", a relay gathers the places of its own connections (hashed keys, 8 digits each, by server) for 0.5 s and tells the others; one that starts asks, and is told all. Kept in state.rs `Places`, bounded; a place only counts while its server is ready. What is not known still goes by the table.

Checked: the new test fails without either part.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -106,6 +106,8 @@
     pub me: u32,
     /// Whether balancers may send each other messages.
     pub peers: bool,
+    /// Packets pass through: when the set of balancers changes, open connections arrive at another one.
+    pub passes: bool,
     /// Most attempts of one request.
     pub max_attempts: u32,
     /// A connection not established by then has failed.
@@ -134,6 +136,7 @@
             balancers: 1,
             me: 0,
             peers: false,
+            passes: false,
             max_attempts: 3,
             connect_timeout: 250.0,
             resolution: 1.0,
@@ -270,11 +273,19 @@
     pub total: f64,
     /// Slot of the group's key in the table, and its arrivals.
     pub sizes: Vec<(u32, f64)>,
+    /// In place of all that, where connections stand: a client's key and its server's id, both hashed. An
+    /// empty list asks for the receiver's.
+    pub places: Option<Vec<Place>>,
 }
 
+/// Where a client's connection stands: its key and its server's id, both hashed.
+pub type Place = (u32, u16);
+
 impl Message {
     /// Most groups in one message.
     pub const MOST: usize = 24;
+    /// Most places in one message.
+    pub const MOST_PLACES: usize = 16;
 }
 
 /// What a balancer is told.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -206,7 +206,12 @@
     let line = config.listen.map(listen).transpose().map_err(named("listen"))?;
     let rtmp = config.rtmp.as_ref().map(|r| listen(r.listen)).transpose().map_err(named("rtmp.listen"))?;
     let peers = match config.peer_listen {
-        Some(address) => Some(UdpSocket::bind(address).await.map_err(named("peer_listen"))?),
+        Some(address) => {
+            let socket = UdpSocket::bind(address).await.map_err(named("peer_listen"))?;
+            // Until it has been waited for once, it is not known to take anything: the first would be lost.
+            socket.writable().await?;
+            Some(socket)
+        }
         None => None,
     };
     let agent = match &config.snmp {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::interface::*;
-use crate::state::{Conn, Ledger, Mean, Recent, Sample, Server, Stage};
+use crate::state::{Conn, Ledger, Mean, Places, Recent, Sample, Server, Stage};
 
 /// Slots of the table; prime, so that any skip visits all of them.
 pub(crate) const SLOTS: usize = 65537;
@@ -54,6 +54,9 @@
 /// Tokens of the list timer and of the steps; request ids stay far below.
 const ASK: u64 = 1 << 62;
 const LEAVE: u64 = ASK + 1;
+const TELL: u64 = ASK + 2;
+/// How long places are gathered before the others are told. Who is killed takes that many with it.
+const TELL_AFTER: Millis = 500.0;
 
 /// The decisions of one balancer.
 #[derive(Default)]
@@ -78,6 +81,8 @@
     pooled: Message,
     samples: BTreeMap<u32, Vec<(u32, f64)>>,
     mean: Mean,
+    /// Where connections stand, for those that arrive mid-flow.
+    places: Places,
     failed_asks: u32,
     /// Share of late set-ups and errors lately, and the server of the latest: a common fault shows at many.
     late_share: f64,
@@ -123,8 +128,8 @@
                 self.ledger.conns.insert(id, conn);
                 self.ledger.hold(id, server);
             }
-            Event::Established { request, attempt, elapsed } => {
-                self.opened(now, request, attempt, elapsed, out);
+            Event::Established { request: id, attempt, elapsed } => {
+                self.opened(now, id, (attempt, elapsed), out)
             }
             Event::Ended { request, attempt, server, outcome, finished } => {
                 if self.ledger.conns.get(&request).is_some_and(|c| c.attempts == attempt.0 + 1) {
@@ -133,9 +138,10 @@
             }
             Event::Expired(id) => self.forget(id),
             Event::Progress { request, note } => self.note(now, request, note, out),
-            Event::Told { peer, message } => self.told(peer, message, out),
+            Event::Told { peer, message } => self.told(now, peer, message, out),
             Event::Timer(ASK) => out.push(Action::Watch),
             Event::Timer(LEAVE) => self.leave(now, out),
+            Event::Timer(TELL) => self.places.news().iter().for_each(|m| self.tell_all(m, out)),
             Event::Timer(token) => self.advance(now, RequestId(token), 0.0, out),
         }
         self.drain_queue(now, out);
@@ -146,6 +152,9 @@
         if kind == ListKind::Cached && self.settings.discovery == Discovery::OnRequest {
             out.push(Action::Watch);
         }
+        if kind == ListKind::Cached && self.settings.passes {
+            self.tell_all(&Message { places: Some(Vec::new()), ..Message::default() }, out);
+        }
         let servers = &mut self.ledger.servers;
         if kind != ListKind::Delta {
             servers.values_mut().for_each(|s| s.state = ServerState::Gone);
@@ -267,8 +276,17 @@
         }
     }
 
-    fn told(&mut self, peer: u32, message: Message, out: &mut Actions) {
-        if message.answer && peer == self.collector {
+    fn tell_all(&self, message: &Message, out: &mut Actions) {
+        let others = (0..self.settings.balancers).filter(|p| *p != self.settings.me && self.settings.peers);
+        out.extend(others.map(|peer| Action::Tell { peer, message: message.clone() }));
+    }
+
+    fn told(&mut self, now: Millis, peer: u32, message: Message, out: &mut Actions) {
+        if let Some(places) = message.places {
+            let answers =
+                self.places.told(now, places).into_iter().filter(|_| peer < self.settings.balancers);
+            out.extend(answers.map(|message| Action::Tell { peer, message }));
+        } else if message.answer && peer == self.collector {
             (self.pooled, self.asked) = (message, None);
         } else if !message.answer && peer < self.settings.balancers {
             self.samples.insert(peer, message.sizes);
@@ -444,8 +462,9 @@
         let mut up: Vec<usize> = (0..walk.len()).filter(may).collect();
         let first = up.first().map(|i| id(i).clone());
         if conn.request.mid_flow && conn.attempts == 0 {
-            // Its holder was most likely chosen by the table, whatever the server's state is now.
-            return first;
+            // Where nothing is known, its holder was most likely chosen by the table, whatever the server's
+            // state is now.
+            return self.places.holder(&conn.request.client_key(), &self.ring).cloned().or(first);
         }
         up.retain(|i| now >= server(i).skip_until);
         if up.is_empty() {
@@ -514,7 +533,8 @@
         self.queue.remove(&id);
     }
 
-    fn opened(&mut self, now: Millis, id: RequestId, attempt: AttemptId, elapsed: Millis, out: &mut Actions) {
+    fn opened(&mut self, now: Millis, id: RequestId, up: (AttemptId, Millis), out: &mut Actions) {
+        let (attempt, elapsed) = up;
         let current = |c: &&Conn| c.attempts == attempt.0 + 1 && c.stage == Stage::Trying;
         let Some(conn) = self.ledger.conns.get(&id).filter(current) else { return };
         let anew = !conn.request.mid_flow;
@@ -523,12 +543,14 @@
             self.window += 1.0 / self.window;
         }
         let server = conn.server.clone();
+        let place = server.as_ref().filter(|_| self.settings.passes);
+        if place.is_some_and(|at| self.places.note_own(now, &conn.request.client_key(), at)) {
+            out.push(Action::Timer { after: TELL_AFTER, token: TELL });
+        }
         if let Some(s) = server.as_ref().and_then(|id| self.ledger.servers.get_mut(id)) {
             s.failures = 0;
             if anew {
-                let (since, quickest) = s.setup;
-                let new = now - since > QUICKEST_OF;
-                s.setup = if new { (now, elapsed) } else { (since, quickest.min(elapsed)) };
+                s.set_up(now, elapsed, QUICKEST_OF);
             }
             if std::mem::take(&mut s.down) && s.started < now - self.settings.warm_within {
                 // The list is late: a server that was down and answers has just started, and is cold.
@@ -545,14 +567,9 @@
     /// How much longer set-ups take at a server than at most others: the work piled up there, which messages
     /// wait behind as well. What the store adds is common to all, and no sign of it counts as one.
     fn lag(&self, now: Millis, server: &ServerId) -> Millis {
-        let known = self.ring.iter().map(|id| self.ledger.servers[id].setup);
-        let mut all: Vec<f64> = known.filter(|s| now - s.0 < SETUP_KNOWN).map(|s| s.1).collect();
-        all.sort_by(f64::total_cmp);
-        let (Some(usual), Some(s)) = (all.get(all.len() / 2), self.ledger.servers.get(server)) else {
-            return 0.0;
-        };
-        let lag = s.setup.1 - usual;
-        if lag > *usual { lag } else { 0.0 }
+        let usual = self.ledger.usual_setup(&self.ring, now - SETUP_KNOWN);
+        let lag = self.ledger.servers.get(server).map_or(0.0, |s| s.setup.1 - usual);
+        if lag > usual { lag } else { 0.0 }
     }
 
     fn ended(&mut self, now: Millis, id: RequestId, at: ServerId, end: (Outcome, bool), out: &mut Actions) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::interface::*;
 
 /// Where a connection stands.
@@ -79,6 +81,12 @@
             leaves: None,
         }
     }
+
+    /// Counts a set-up for the quickest within a span.
+    pub fn set_up(&mut self, now: Millis, elapsed: Millis, span: Millis) {
+        let (since, quickest) = self.setup;
+        self.setup = if now - since > span { (now, elapsed) } else { (since, quickest.min(elapsed)) };
+    }
 }
 
 /// Arrivals by the slot of their group's key; old ones fade.
@@ -102,7 +110,75 @@
         let mut sizes: Vec<(u32, f64)> = self.0.iter().map(|(group, n)| (*group, *n)).collect();
         sizes.sort_by(|a, b| b.1.total_cmp(&a.1));
         sizes.truncate(Message::MOST);
-        Message { answer, total: self.total(), sizes }
+        Message { answer, total: self.total(), sizes, places: None }
+    }
+}
+
+/// What balancers call a client or a server among themselves.
+fn tag(key: &[u8]) -> u32 {
+    xxh3_64(key) as u32
+}
+
+/// Where clients' connections stand, own ones and those that other balancers have told of. What has ended
+/// stays until it is crowded out: its client does not come again mid-flow.
+#[derive(Default)]
+pub(crate) struct Places {
+    known: BTreeMap<u32, (u16, Millis)>,
+    untold: Vec<Place>,
+}
+
+impl Places {
+    /// Most places remembered; some hundred KiB.
+    const MOST: usize = 8192;
+
+    /// Notes a place; whether it is news.
+    fn note(&mut self, now: Millis, (client, server): Place) -> bool {
+        let before = self.known.insert(client, (server, now));
+        if self.known.len() > Self::MOST {
+            let oldest = self.known.iter().min_by(|a, b| a.1.1.total_cmp(&b.1.1)).map(|(client, _)| *client);
+            oldest.map(|client| self.known.remove(&client));
+        }
+        before.is_none_or(|(at, _)| at != server)
+    }
+
+    /// Notes an own connection's place; whether it is the first to tell.
+    pub fn note_own(&mut self, now: Millis, client: &[u8], server: &ServerId) -> bool {
+        let place = (tag(client), tag(server.0.as_bytes()) as u16);
+        let news = self.note(now, place);
+        self.untold.extend(news.then_some(place));
+        news && self.untold.len() == 1
+    }
+
+    /// Which of the servers a client's connection stands at, if that is known.
+    pub fn holder<'a>(&self, client: &[u8], servers: &'a [ServerId]) -> Option<&'a ServerId> {
+        let (at, _) = self.known.get(&tag(client))?;
+        servers.iter().find(|id| tag(id.0.as_bytes()) as u16 == *at)
+    }
+
+    /// Notes what another balancer tells; gives what is to be told it if it asks.
+    pub fn told(&mut self, now: Millis, places: Vec<Place>) -> Vec<Message> {
+        let asks = places.is_empty();
+        for place in places {
+            self.note(now, place);
+        }
+        if asks { self.all() } else { Vec::new() }
+    }
+
+    /// What the others have not been told yet.
+    pub fn news(&mut self) -> Vec<Message> {
+        Self::messages(std::mem::take(&mut self.untold))
+    }
+
+    /// All that is known.
+    fn all(&self) -> Vec<Message> {
+        Self::messages(self.known.iter().map(|(client, (server, _))| (*client, *server)).collect())
+    }
+
+    /// By server, which is then named once for many.
+    fn messages(mut places: Vec<Place>) -> Vec<Message> {
+        places.sort_by_key(|(_, server)| *server);
+        let chunks = places.chunks(Message::MOST_PLACES);
+        chunks.map(|c| Message { places: Some(c.to_vec()), ..Message::default() }).collect()
     }
 }
 
@@ -165,6 +241,14 @@
         conn.server = Some(server);
     }
 
+    /// The median of what set-ups take at these servers; endless where none is known since then.
+    pub fn usual_setup(&self, servers: &[ServerId], since: Millis) -> Millis {
+        let known = servers.iter().filter_map(|id| self.servers.get(id)).map(|s| s.setup);
+        let mut all: Vec<Millis> = known.filter(|(at, _)| *at > since).map(|(_, setup)| setup).collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied().unwrap_or(f64::INFINITY)
+    }
+
     /// Counts an attempt that is sent now.
     pub fn send(&mut self, id: RequestId, server: ServerId, now: Millis) {
         if let Some(conn) = self.conns.get_mut(&id) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -317,6 +317,7 @@
 /// First word of a message between balancers: its version and kind.
 const SAMPLE: &str = "1s";
 const ANSWER: &str = "1t";
+const PLACES: &str = "1p";
 /// The wire's limit on a message.
 pub(crate) const MESSAGE_BYTES: usize = 256;
 
@@ -326,6 +327,10 @@
     let answer = match words.next()? {
         SAMPLE => false,
         ANSWER => true,
+        PLACES => {
+            let places = words.map(places).collect::<Option<Vec<_>>>()?.concat();
+            return Some(Message { places: Some(places), ..Message::default() });
+        }
         _ => return None,
     };
     let count = |n: &str| u32::from_str_radix(n, 16).ok().map(|n| f64::from(n) / 10.0);
@@ -335,10 +340,28 @@
         let (group, n) = word.split_once(':')?;
         sizes.push((u32::from_str_radix(group, 16).ok()?, count(n)?));
     }
-    Some(Message { answer, total, sizes })
+    Some(Message { answer, total, sizes, places: None })
+}
+
+/// One server's places: its hash, then those of its clients' keys, each of eight digits.
+fn places(word: &str) -> Option<Vec<Place>> {
+    let (server, clients) = word.split_once(':').filter(|_| word.is_ascii())?;
+    let server = u16::from_str_radix(server, 16).ok()?;
+    let client = |digits: &[u8]| u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok();
+    clients.as_bytes().chunks(8).map(|digits| Some((client(digits)?, server))).collect()
 }
 
 pub(crate) fn message_text(message: &Message) -> String {
+    if let Some(places) = &message.places {
+        let (mut text, mut at) = (PLACES.to_owned(), None);
+        for (client, server) in places.iter().take(Message::MOST_PLACES) {
+            if at.replace(server) != Some(server) {
+                text.push_str(&format!(" {server:x}:"));
+            }
+            text.push_str(&format!("{client:08x}"));
+        }
+        return text;
+    }
     let count = |n: f64| (n * 10.0).round() as u32;
     let kind = if message.answer { ANSWER } else { SAMPLE };
     let mut text = format!("{kind} {:x}", count(message.total));
@@ -405,6 +428,7 @@
         balancers: number(boot, "nInstances", 1.0).max(1.0) as u32,
         me: number(boot, "me", 0.0) as u32,
         peers: truth(limits, "peerMessages"),
+        passes: boot["domain"]["mode"].as_str() == Some("pass"),
         max_attempts: number(limits, "maxAttempts", d.max_attempts.into()).max(1.0) as u32,
         connect_timeout: number(limits, "connectTimeoutMs", d.connect_timeout),
         resolution: number(boot, "resolutionMs", d.resolution),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -172,15 +172,17 @@
 "lanes":[{"name":"subtitle-stream","semantics":"safe","aimMs":500.0,"hardLimitMs":3000.0,"worth":1.0}],
 "limits":{"maxAttempts":5,"connectTimeoutMs":200.0,"retryAfter":true,"maxRetryAfterMs":1500.0,"peerMessages":true},
 "rules":{"askEveryMs":10000.0,"coldFrom":0.31,"warmWithinMs":8600.0,"tipMultiple":3.0},
-"domain":{"groups":true,"messageAimMs":[150.0]}}"#;
+"domain":{"mode":"pass","groups":true,"messageAimMs":[150.0]}}"#;
 
 /// The platform's file for a relay. What it knows of the list is what discovery has now.
-fn platform(line: &str, peer: &str, discovery: &Discovery, sockets: u32) -> String {
+fn platform(line: &str, peers: &[String], me: usize, discovery: &Discovery, sockets: u32) -> String {
     format!(
-        r#"{{"name":"n0","limits":{{"sockets":{sockets}}},"listen":"{line}","discovery":"{}","seed":"1","peer_listen":"{peer}","peers":["{peer}"],
-        "known":{},"settings":{SETTINGS}}}"#,
+        r#"{{"name":"n0","limits":{{"sockets":{sockets}}},"listen":"{line}","discovery":"{}","seed":"1","peer_listen":"{}","peers":{peers:?},
+        "known":{},"settings":{}}}"#,
         discovery.address,
-        discovery.json(0)
+        peers[me],
+        discovery.json(0),
+        SETTINGS.replace("\"me\":0", &format!("\"me\":{me}"))
     )
 }
 
@@ -192,8 +194,14 @@
 
     /// The same, with so many descriptors.
     pub fn start_with(discovery: &Discovery, sockets: u32) -> Relay {
-        let (host, folder) = (host(), tempfile::tempdir().unwrap());
-        let [line, rtmp, snmp, peer] = [8443, 1935, 1161, 7946].map(|port| format!("{host}:{port}"));
+        Self::start_one(discovery, sockets, &[host()], 0)
+    }
+
+    /// One of a tier, of which each has an address.
+    pub fn start_one(discovery: &Discovery, sockets: u32, tier: &[String], me: usize) -> Relay {
+        let (host, folder) = (&tier[me], tempfile::tempdir().unwrap());
+        let [line, rtmp, snmp] = [8443, 1935, 1161].map(|port| format!("{host}:{port}"));
+        let peers: Vec<_> = tier.iter().map(|host| format!("{host}:7946")).collect();
         let file = format!(
             "[rtmp]\nlisten = \"{rtmp}\"\nclass = \"subtitle-stream\"\ntrusted = [\"127.0.0.1\"]\n\
              [snmp]\nlisten = \"{snmp}\"\ncommunity = \"hall\"\n"
@@ -207,7 +215,7 @@
             &format!("ulimit -n {sockets}; exec \"$0\" \"$@\""),
             env!("CARGO_BIN_EXE_sandgw"),
         ]);
-        std::fs::write(&config, platform(&line, &peer, discovery, sockets)).unwrap();
+        std::fs::write(&config, platform(&line, &peers, me, discovery, sockets)).unwrap();
         let log = std::fs::File::create(folder.path().join("log")).unwrap();
         command.arg("run").arg(app).env("PROXY_CONFIG", config).env("PROXY_DISCOVERY", &discovery.address);
         let child = command.stderr(Stdio::from(log)).spawn();
@@ -226,8 +234,8 @@
 
     /// Replaces the platform's configuration, or breaks it where no discovery is given, and says so.
     pub fn reload(&self, discovery: Option<&Discovery>) {
-        let peer = self.line.replace("8443", "7946");
-        let text = discovery.map_or_else(|| "{".into(), |d| platform(&self.line, &peer, d, 1024));
+        let peers = [self.line.replace("8443", "7946")];
+        let text = discovery.map_or_else(|| "{".into(), |d| platform(&self.line, &peers, 0, d, 1024));
         std::fs::write(self.folder.path().join("config.json"), text).unwrap();
         self.signal("HUP");
     }
--- a/tests/line.rs
+++ b/tests/line.rs
@@ -344,3 +344,35 @@
     let (first, _) = held.next().unwrap();
     assert_eq!(first.line(), "MOVE");
 }
+
+/// When the set of relays changes, open connections arrive at another one, or at a relay that has started again
+/// from nothing. They once went where the table points, which was not where half of them were.
+#[test]
+fn a_mid_flow_arrival_finds_its_streamer_at_every_relay_of_the_tier() {
+    let streamers = ["UP 0\r\n", "UP 1\r\n", "UP 2\r\n", "UP 3\r\n"].map(Streamer::lines);
+    let discovery = Discovery::start();
+    for (i, s) in streamers.iter().enumerate() {
+        discovery.set(&format!("s-{i}"), &s.address, "Ready", 0);
+    }
+    let tier = [host(), host()];
+    let first = Relay::start_one(&discovery, 1024, &tier, 0);
+    let other = Relay::start_one(&discovery, 1024, &tier, 1);
+    let ask = |relay: &Relay, key: usize, more: &str| {
+        let mut client = relay.client();
+        let line = client
+            .send(&format!("OPEN {key}{} {key} c=subtitle-stream,t=acme,d=2000,g=1{more}\r\n", more.len()));
+        (line.line(), client)
+    };
+    // A client that comes again is placed anew by chance: nothing in its key tells where.
+    let held: Vec<_> = (0..40).map(|key| ask(&first, key, ",again=1")).collect();
+    let at: Vec<_> = held.iter().map(|(up, _)| up.clone()).collect();
+    assert!(at.iter().any(|up| *up != at[0]), "all are at one streamer: {at:?}");
+    let again = |relay: &Relay| (0..40).map(|key| ask(relay, key, ",mid=1").0).collect::<Vec<_>>();
+    // Told within half a second.
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(again(&other), at, "at the other relay");
+    drop((held, first));
+    let first = Relay::start_one(&discovery, 1024, &tier, 0);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(again(&first), at, "at the relay that has started again");
+}
