--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,6 +38,8 @@
 /// something of their server for the longer span.
 const QUICKEST_OF: Millis = 1000.0;
 const SETUP_KNOWN: Millis = 5000.0;
+/// Share of the wanted set-up time by which one is slower than others.
+const LAG: f64 = 0.1;
 /// Above this share of late set-ups and errors the fault is common to all servers.
 const COMMON: f64 = 0.5;
 /// Cut of a server's cap at a jam, and its growth in a calm second.
@@ -486,10 +488,10 @@
         let spare = !self.hears && !self.crowded(now);
         let each = if spare { self.ledger.total.max(1.0) / self.power } else { f64::INFINITY };
         let fits = |s: &Server| s.load <= EVEN * each * s.weight * self.warmth(now, s) + 1.0;
-        if !spare || up.iter().any(|i| *i < among) {
+        let calm = |i: &&usize| now - server(i).slow_at > SLOW_FOR;
+        if !spare || up.iter().any(|i| *i < among && calm(&i)) {
             up.retain(|i| *i < among);
         }
-        let calm = |i: &&usize| now - server(i).slow_at > SLOW_FOR;
         let best = up.iter().find(|i| calm(i) && fits(server(i))).or(up.iter().find(calm)).or(up.first());
         best.map(|i| id(i).clone())
     }
@@ -543,8 +545,8 @@
     fn opened(&mut self, now: Millis, id: RequestId, attempt: AttemptId, elapsed: Millis, out: &mut Actions) {
         let current = |c: &&Conn| c.attempts == attempt.0 + 1 && c.stage == Stage::Trying;
         let Some(conn) = self.ledger.conns.get(&id).filter(current) else { return };
-        let anew = !conn.request.mid_flow;
-        if elapsed <= self.aim(&conn.request) {
+        let (anew, aim) = (!conn.request.mid_flow, self.aim(&conn.request));
+        if elapsed <= aim {
             self.late_share -= self.late_share / 4.0;
             self.window += 1.0 / self.window;
         }
@@ -567,9 +569,10 @@
         // What set-ups take longer here than at most others is the work piled up, which messages wait behind
         // as well. What the store adds is common to all.
         let usual = self.ledger.usual_setup(&self.ring, now - SETUP_KNOWN);
-        if let Some(server) = server.filter(|_| anew) {
-            let lag = self.ledger.servers.get(&server).map_or(0.0, |s| s.setup.1 - usual);
-            self.delayed(now, &server, if lag > usual { lag } else { 0.0 }, out);
+        let s = server.filter(|_| anew).and_then(|id| self.ledger.servers.get_mut(&id));
+        // No sign to cut a cap by: one odd set-up of one that has just started would starve it for long.
+        if let Some(s) = s.filter(|s| s.setup.1 - usual > usual.max(LAG * aim)) {
+            s.slow_at = now;
         }
     }
 
@@ -649,6 +652,7 @@
     }
 
     fn note(&mut self, now: Millis, id: RequestId, note: Note, out: &mut Actions) {
+        let per_server = self.per_server();
         let Some(conn) = self.ledger.conns.get(&id) else { return };
         match note {
             Note::Load(level) => {
@@ -658,31 +662,25 @@
                 }
             }
             Note::Delay(level) => {
-                let server = conn.server.clone();
+                let aims = self.settings.classes.iter().filter_map(|c| c.message_aim);
+                let aim = aims.fold(f64::INFINITY, f64::min);
                 self.hears = true;
-                server.into_iter().for_each(|s| self.delayed(now, &s, level, out));
-            }
-        }
-    }
-
-    /// Messages wait for so long at a server.
-    fn delayed(&mut self, now: Millis, server: &ServerId, level: Millis, out: &mut Actions) {
-        let per_server = self.per_server();
-        let aims = self.settings.classes.iter().filter_map(|c| c.message_aim);
-        let aim = aims.fold(f64::INFINITY, f64::min);
-        let Some(s) = self.ledger.servers.get_mut(server).filter(|_| level > aim / 3.0) else { return };
-        (s.cap, s.slow_at) = (cap(s, now, per_server).min(s.load), now);
-        if level > aim {
-            jam(s, now, per_server, CUT.min(2.0 * aim / level));
-            // Nothing on this server is worth anything: the clients that give least for their load
-            // are asked to come again. A share of own load, so that many balancers do not empty it.
-            if self.random() < SHED * self.ledger.servers[server].load {
-                let held = self.ledger.servers[server].conns.iter();
-                let held = held.map(|id| &self.ledger.conns[id]).filter(|c| c.stage == Stage::Open);
-                let least = held.min_by(|a, b| self.worth(a).total_cmp(&self.worth(b)));
-                out.extend(least.map(|c| Action::Move(c.request.id)));
-                // It will leave by itself, too: both together count as a fault.
-                self.faults += (1.0 - self.faults) / 4.0;
+                let Some(server) = conn.server.clone().filter(|_| level > aim / 3.0) else { return };
+                let Some(s) = self.ledger.servers.get_mut(&server) else { return };
+                (s.cap, s.slow_at) = (cap(s, now, per_server).min(s.load), now);
+                if level > aim {
+                    jam(s, now, per_server, CUT.min(2.0 * aim / level));
+                    // Nothing on this server is worth anything: the clients that give least for their load
+                    // are asked to come again. A share of own load, so that many balancers do not empty it.
+                    if self.random() < SHED * self.ledger.servers[&server].load {
+                        let held = self.ledger.servers[&server].conns.iter();
+                        let held = held.map(|id| &self.ledger.conns[id]).filter(|c| c.stage == Stage::Open);
+                        let least = held.min_by(|a, b| self.worth(a).total_cmp(&self.worth(b)));
+                        out.extend(least.map(|c| Action::Move(c.request.id)));
+                        // It will leave by itself, too: both together count as a fault.
+                        self.faults += (1.0 - self.faults) / 4.0;
+                    }
+                }
             }
         }
     }
