--- a/src/rules.rs
+++ b/src/rules.rs
@@ -569,10 +569,11 @@
         // What set-ups take longer here than at most others is the work piled up, which messages wait behind
         // as well. What the store adds is common to all.
         let usual = self.ledger.usual_setup(&self.ring, now - SETUP_KNOWN);
+        let (hears, per_server) = (self.hears, self.per_server());
         let s = server.filter(|_| anew).and_then(|id| self.ledger.servers.get_mut(&id));
-        // No sign to cut a cap by: one odd set-up of one that has just started would starve it for long.
+        // Alone no sign to cut a cap by: one odd set-up of one that has just started would starve it.
         if let Some(s) = s.filter(|s| s.setup.1 - usual > usual.max(LAG * aim)) {
-            s.slow_at = now;
+            (s.cap, s.slow_at) = (if hears { cap(s, now, per_server).min(s.load) } else { s.cap }, now);
         }
     }
 
