--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -35,8 +35,6 @@
 pub const MOST_HOLDERS: usize = 6;
 /// Load under which a holder is as good as none, in mean connections.
 const NOTHING: f32 = 0.05;
-/// Estimates from less than this of one relay's past are not scaled up further: they would be of one connection.
-const LEAST_KNOWN: f64 = 0.02;
 /// Entries looked at with every change, for those that have aged.
 const SWEEP: usize = 2;
 
@@ -186,14 +184,13 @@
     members: Members,
     sessions: Table<Holder>,
     groups: Table<Group>,
-    /// Time of tick 0, the start, and the latest time: time never goes back here.
+    /// Time of tick 0, and the latest time: time never goes back here.
     base: Millis,
-    start: Millis,
     now: Millis,
-    /// Share of the own past that was known at the start, and weights of the relays that have told, as of then.
-    restored: f64,
+    /// Relays whose loads are in, as of then; and when a store or a relay last told of loads.
     told: f64,
     told_at: Millis,
+    learned_at: Option<Millis>,
     /// Sum of all loads placed, told and restored, whether or not their groups are still known, as of then.
     load: f64,
     load_at: Millis,
@@ -215,11 +212,10 @@
             sessions: Table::within(tables / 2),
             groups: Table::within(tables / 2),
             base: now - limits.max_age,
-            start: now,
             now,
-            restored: 0.0,
             told: 0.0,
             told_at: now,
+            learned_at: None,
             load: 0.0,
             load_at: now,
             gone: Vec::new(),
@@ -298,7 +294,7 @@
     /// as long.
     pub fn sizes(&self, now: Millis, most: usize) -> Vec<(u64, f64)> {
         let tick = self.at(now.max(self.now));
-        let times = f64::from(self.limits.relays) / self.known(now).max(LEAST_KNOWN);
+        let times = self.times(now);
         let load = |g: &Group| g.shares().iter().map(|s| self.faded(s, tick)).map(|s| s.own + s.told).sum();
         let all = self.groups.iter().map(|(key, group, _)| (key, load(group)));
         let mut sizes: Vec<(u64, f32)> = all.filter(|(_, load)| *load > NOTHING).collect();
@@ -315,13 +311,13 @@
     /// over what this relay holds itself, from 0 to 1: it rests on a store's or other relays' word, and loses
     /// weight as connections end. Without such word it is nothing.
     pub fn fleet(&self, now: Millis) -> (f64, f64) {
-        let left = |heard: bool, at: Millis| if heard { self.fade(now - at) } else { 0.0 };
-        let belief = left(self.restored > 0.0, self.start).max(left(self.told > 0.0, self.told_at));
-        if belief <= 0.0 {
-            return (0.0, 0.0);
-        }
-        let times = f64::from(self.limits.relays) / self.known(now).max(LEAST_KNOWN);
-        (self.load * self.fade(now - self.load_at) * times, belief)
+        let belief = self.learned_at.map_or(0.0, |at| self.fade(now - at));
+        (self.counted(now) * self.times(now), belief)
+    }
+
+    /// Connections that all sizes rest on, faded like them.
+    pub fn counted(&self, now: Millis) -> f64 {
+        self.load * self.fade(now - self.load_at)
     }
 
     /// Counts load that came to be known.
@@ -330,24 +326,18 @@
         self.load_at = self.now;
     }
 
-    /// In how many relays' worth of the tier's past the loads here were counted.
-    fn known(&self, now: Millis) -> f64 {
-        1.0 - (1.0 - self.restored) * self.fade(now - self.start) + self.told_now(now)
-    }
-
-    /// How much of its own past this relay knows, from 0 to 1.
-    pub(crate) fn own_known(&self, now: Millis) -> f64 {
-        1.0 - (1.0 - self.restored) * self.fade(now - self.start)
-    }
-
-    fn told_now(&self, now: Millis) -> f64 {
-        self.told * self.fade(now - self.told_at)
+    /// How many times the loads known here the tier carries: those of this relay, which after its restart are
+    /// few because the others carry them, and those of the relays that have told. Told loads fade; what comes
+    /// after them is seen at this relay alone.
+    fn times(&self, now: Millis) -> f64 {
+        f64::from(self.limits.relays) / (1.0 + self.told * self.fade(now - self.told_at))
     }
 
-    /// A relay's loads are in: they were counted over that much of a relay's past.
-    pub(crate) fn heard(&mut self, now: Millis, weight: f64) {
+    /// So many relays' loads are in.
+    pub(crate) fn heard(&mut self, now: Millis, relays: f64) {
         let now = self.now.max(now);
-        (self.told, self.told_at) = (self.told_now(now) + weight, now);
+        (self.told, self.told_at) = (self.told * self.fade(now - self.told_at) + relays, now);
+        self.learned_at = Some(now);
     }
 
     fn fade(&self, span: Millis) -> f64 {
@@ -525,7 +515,7 @@
     /// Takes what was kept, at the start: nothing of it counts before the list names its holder as ready.
     pub fn restore(&mut self, now: Millis, records: impl Iterator<Item = Record>) -> Restored {
         let tick = self.tick(now);
-        let (mut done, mut newest) = (Restored::default(), f64::NEG_INFINITY);
+        let (mut done, mut groups) = (Restored::default(), false);
         for record in records {
             let at = record.at();
             // Neither a clock stepped back nor a foreign number may make an entry that never ages.
@@ -542,7 +532,7 @@
                     self.set_session(set, key & ((1 << Client::BITS) - 1), holder);
                 }),
                 Record::Group { key, holders, .. } => {
-                    newest = f64::max(newest, at);
+                    groups = true;
                     let mut group = Group::default();
                     for (tag, load) in holders.iter().filter(|(_, l)| l.is_finite() && *l >= 0.0) {
                         if let Some(holder) = self.members.tagged(self.now, *tag) {
@@ -556,9 +546,8 @@
             done.taken += u64::from(taken.is_some());
             done.over += u64::from(taken.is_none());
         }
-        if newest.is_finite() {
-            // What went by unseen has faded in the loads as well.
-            self.restored = self.fade(self.time(tick) - newest);
+        if groups {
+            self.learned_at = Some(self.now);
         }
         done
     }
--- a/crates/affinity/src/piece.rs
+++ b/crates/affinity/src/piece.rs
@@ -88,8 +88,6 @@
         round: u32,
         /// Which table.
         kind: Kind,
-        /// How much of its past the teller knows, in 255ths: less soon after its own start.
-        known: u8,
         /// Pieces by bucket, less those without any at the end.
         counts: Vec<u16>,
     },
--- a/crates/affinity/src/tier.rs
+++ b/crates/affinity/src/tier.rs
@@ -50,7 +50,6 @@
     plan: Option<Vec<Vec<bool>>>,
     /// Pieces that overtook their plan.
     early: Vec<Piece>,
-    known: f64,
     missing: usize,
     total: usize,
     /// Last progress, and tries since.
@@ -146,8 +145,8 @@
         // question would be taken for one to this.
         self.seed = xxh3_64_with_seed(&now.to_bits().to_le_bytes(), self.seed);
         let round = self.seed as u32;
-        let (plan, early, known, missing, total, last, tries) = (None, Vec::new(), 0.0, 0, 0, now, 0);
-        self.asking.push(Asking { peer, round, kind, plan, early, known, missing, total, last, tries });
+        let (plan, early, missing, total, last, tries) = (None, Vec::new(), 0, 0, now, 0);
+        self.asking.push(Asking { peer, round, kind, plan, early, missing, total, last, tries });
         self.send(peer, question(affinity, now, round, kind), out);
     }
 
@@ -170,22 +169,20 @@
             Piece::Ask { round, kind, digests } => {
                 self.serve(affinity, now, peer, (round, kind), &digests, out)
             }
-            Piece::Plan { round, kind, known, counts } => {
+            Piece::Plan { round, kind, counts } => {
                 let plan =
                     |a: &&mut Asking| (a.peer, a.round, a.kind) == (peer, round, kind) && a.plan.is_none();
                 let Some(asking) = self.asking.iter_mut().find(plan) else { return };
                 asking.total = counts.iter().take(BUCKETS).map(|n| usize::from(*n)).sum();
                 asking.missing = asking.total;
-                asking.known = f64::from(known) / 255.0;
                 let buckets = counts.iter().take(BUCKETS).map(|n| vec![false; usize::from(*n)]);
                 asking.plan = Some(buckets.collect());
                 (asking.last, asking.tries) = (now, 0);
                 let early = std::mem::take(&mut asking.early);
                 if asking.missing == 0 {
-                    // No loads to come: a relay that has none counts for its past all the same.
+                    // A relay that carries nothing is one whose loads are in.
                     if kind == Kind::Groups {
-                        affinity.heard(now, asking.known);
-                        self.learned |= asking.known > 0.0;
+                        affinity.heard(now, 1.0);
                     }
                     self.finish(affinity, now, round, out);
                 }
@@ -247,7 +244,7 @@
         asking.missing -= 1;
         (asking.last, asking.tries) = (now, 0);
         if kind == Kind::Groups {
-            affinity.heard(now, asking.known / asking.total as f64);
+            affinity.heard(now, 1.0 / asking.total as f64);
         }
         true
     }
@@ -331,8 +328,7 @@
         }
         let mut counts: Vec<u16> = pieces.iter().map(|p| p.len() as u16).collect();
         counts.truncate(counts.iter().rposition(|n| *n > 0).map_or(0, |last| last + 1));
-        let known = (affinity.own_known(now) * 255.0).round() as u8;
-        let plan = Piece::Plan { round, kind, known, counts };
+        let plan = Piece::Plan { round, kind, counts };
         self.send(peer, plan.clone(), out);
         let longest = pieces.iter().map(Vec::len).max().unwrap_or(0);
         let each = (0..longest).flat_map(|n| (0..BUCKETS).map(move |b| (b, n)));
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -52,17 +52,20 @@
         }
     }
 
-    /// A connection stands.
+    /// A connection has come to stand. Where, is told to the others.
     pub fn opened(&mut self, now: Millis, request: &Request, load: f64, server: &ServerId) {
-        if self.passes {
-            let client = Affinity::client(&request.client_key());
-            if self.affinity.note(now, client, &server.0) && self.peers {
-                self.tier.tell(now, client);
-            }
+        if self.stands(now, request, load, server) && self.peers {
+            self.tier.tell(now, Affinity::client(&request.client_key()));
         }
+    }
+
+    /// A connection stands, since before the start or as of now; whether its client's place is news. Those of before
+    /// the start are told to who asks only: all at once they would be many messages.
+    pub fn stands(&mut self, now: Millis, request: &Request, load: f64, server: &ServerId) -> bool {
         if let Some(group) = &request.group {
             self.affinity.place(now, crate::rules::hash(group.0.as_bytes()), &server.0, load);
         }
+        self.passes && self.affinity.note(now, Affinity::client(&request.client_key()), &server.0)
     }
 
     /// The ready server that a client's connection stands at, if that is known.
@@ -87,13 +90,15 @@
         out.extend(self.tier.timer(now).map(|after| Action::Timer { after, token }));
     }
 
-    /// The groups' sizes, once after others or a store have told of them, by slot and scaled to a sum.
-    pub fn learned(&mut self, now: Millis, sum: f64) -> Option<Sample> {
+    /// The groups' sizes, once after others or a store have told of them, by slot: as a sample of as many arrivals as
+    /// they rest on, so many at the most.
+    pub fn learned(&mut self, now: Millis, most: f64) -> Option<Sample> {
         if !std::mem::take(&mut self.learned) && !self.tier.take_learned() {
             return None;
         }
         let sizes = self.affinity.sizes(now, MOST_SIZES);
         let all: f64 = sizes.iter().map(|(_, n)| n).sum();
+        let sum = self.affinity.counted(now).min(most);
         let mut sample = Sample::default();
         for (group, n) in sizes {
             *sample.0.entry(crate::rules::place(group)).or_default() += n / all * sum;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,6 +8,7 @@
 //! same slot, so that balancers which skip a server alike also land alike.
 
 use std::cell::LazyCell;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -31,7 +32,7 @@
 /// as seen besides: a group met once among few is large, but not that large.
 const MEMORY: f64 = 256.0;
 const PRIOR: f64 = 6.0;
-/// Arrivals that the groups' sizes as others or a store tell them count for, until own ones have come.
+/// Arrivals that the groups' sizes count for at the most, as others or a store tell them.
 const SEEDED: f64 = MEMORY / 2.0;
 /// Share of its own load on a jammed server that a balancer asks to come again, each second.
 const SHED: f64 = 0.5;
@@ -128,7 +129,7 @@
             Event::Open { request, server } => {
                 let id = request.id;
                 let conn = Conn { attempts: 1, ..self.conn(request, Stage::Open) };
-                self.memory.opened(now, &conn.request, conn.load, &server);
+                self.memory.stands(now, &conn.request, conn.load, &server);
                 self.ledger.conns.insert(id, conn);
                 self.ledger.hold(id, server);
             }
@@ -146,7 +147,8 @@
             Event::Timer(TELL) => self.memory.due(now),
             Event::Timer(token) => self.advance(now, RequestId(token), 0.0, out),
         }
-        if let Some(sample) = self.memory.learned(now, SEEDED) {
+        let learned = self.memory.learned(now, SEEDED);
+        if let Some(sample) = learned.filter(|s| s.total() > self.sample.total()) {
             (self.sample, self.planned_at) = (sample, f64::NEG_INFINITY);
         }
         self.memory.act(now, TELL, out);
@@ -295,7 +297,7 @@
         let fleet = counted + (known - counted).max(0.0) * belief;
         let unit = fleet / (own * times + PRIOR * times.sqrt() * chance);
         let mut groups: Vec<(u32, f64)> = sample.0.iter().map(|(group, n)| (*group, n * unit)).collect();
-        groups.sort_by(|a, b| b.1.log2().round().total_cmp(&a.1.log2().round()).then(a.0.cmp(&b.0)));
+        groups.sort_by_cached_key(|(group, n)| (Reverse(n.log2().round() as i64), *group));
         let servers = || self.ring.iter().map(|id| &self.ledger.servers[id]);
         let power = |s: &Server| s.weight * self.warmth(now, s);
         let all = servers().map(power).sum::<f64>().max(f64::MIN_POSITIVE);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -952,6 +952,38 @@
     }
 }
 
+/// A balancer that started again knew no group's size: all of a large group went to one server until it had met
+/// enough of it anew. From what was kept it plans as before.
+#[test]
+fn a_balancer_that_starts_again_plans_from_what_was_kept() {
+    let mut before = World::new(settings(), &ready(12));
+    for id in 0..120 {
+        let group = if id % 3 == 0 { "large".to_owned() } else { format!("g{}", id % 40) };
+        before.ask(id, Some(0), Some(&group), &format!("c{id}"), 2000.0);
+        before.establish(RequestId(id), 5.0);
+    }
+    let kept = before.balancer.memory.changes(before.now, usize::MAX).set;
+    let places = |world: &mut World| -> Vec<ServerId> {
+        let place = |id: u64| {
+            world.ask(id, Some(0), Some("large"), &format!("c{id}"), 2000.0);
+            let at = world.sends(id)[0].clone();
+            world.end(RequestId(id), Outcome::Ok);
+            at
+        };
+        (1000..1040).map(place).collect()
+    };
+    let mut after = World::new(settings(), &ready(12));
+    after.balancer.memory.restore(after.now, kept.into_iter());
+    let mut fresh = World::new(settings(), &ready(12));
+    let set = |places: Vec<ServerId>| places.into_iter().collect::<BTreeSet<_>>();
+    let held: BTreeSet<_> = (0..120).filter(|id| id % 3 == 0).flat_map(|id| before.sends(id)).collect();
+    let (after, fresh) = (places(&mut after), set(places(&mut fresh)));
+    let kept = after.iter().filter(|at| held.contains(*at)).count();
+    let after = set(after);
+    assert!(after.len() > 1 && fresh.len() == 1, "{after:?} with what was kept, {fresh:?} without");
+    assert!(kept >= 36, "{kept} of 40 go to those that hold the group: {after:?} of {held:?}");
+}
+
 // --- the module's size ---
 
 #[test]
