--- a/crates/affinity-store/benches/startup.rs
+++ b/crates/affinity-store/benches/startup.rs
@@ -12,7 +12,7 @@
 fn record(n: u64) -> Record {
     let holder = Tag::of(&format!("10.0.0.{}:8443", n % 14), 0.0);
     let key = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    if n % 10 == 0 {
+    if n.is_multiple_of(10) {
         Record::Group { key, holders: vec![(holder, 3.5), (Tag::of("other", 0.0), 0.5)], at: NOW }
     } else {
         Record::Session { key: key >> 24, holder, at: NOW }
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -514,7 +514,7 @@
 
     /// Takes what was kept, at the start: nothing of it counts before the list names its holder as ready.
     pub fn restore(&mut self, now: Millis, records: impl Iterator<Item = Record>) -> Restored {
-        let tick = self.tick(now);
+        self.tick(now);
         let (mut done, mut groups) = (Restored::default(), false);
         for record in records {
             let at = record.at();
