Read the folder one record at a time, and keep less for a disk that fails

Cause: a start read the whole folder into memory before the tables took what they have room for: at 10^6 entries some 100 MB, where installations have 32 to 192 MB. A failing disk could hold 65,536 entries, about 10 MB, beside tables of one.

Change: records go from the store to the core one by one; 16,384 entries wait for a failing disk.

Measured: tests of the store and of the program on a folder pass; the start's own memory is the tables' budget and the store's cache of 1 MiB by construction, its time was not measured again.

--- a/benches/spread.rs
+++ b/benches/spread.rs
@@ -148,7 +148,10 @@
         let mut relay = Relay::new(settings(at as u32, self.from), vec!["c".into()], seed, self.now);
         let kept =
             if self.from == From::Folder { self.stores[at].values().cloned().collect() } else { Vec::new() };
-        relay.restore(self.now, kept.into_iter());
+        relay.keep();
+        if !kept.is_empty() {
+            relay.restore(self.now, kept.into_iter());
+        }
         relay.list(self.now, ListKind::Cached, fleet());
         self.relays[at] = Some(relay);
         self.settle(at);
--- a/crates/affinity-store/src/writer.rs
+++ b/crates/affinity-store/src/writer.rs
@@ -21,8 +21,8 @@
 
 /// Batches that may wait for the thread.
 const QUEUE: usize = 2;
-/// Entries kept for a disk that fails; more are left out until they change again.
-const MOST_PENDING: usize = 65_536;
+/// Entries kept for a disk that fails, a few MB; more are left out until they change again.
+const MOST_PENDING: usize = 16_384;
 /// Pause before the next try after a failure, doubled with each up to the longest.
 const RETRY: Duration = Duration::from_millis(500);
 const LONGEST_RETRY: Duration = Duration::from_secs(30);
--- a/crates/affinity/src/lib.rs
+++ b/crates/affinity/src/lib.rs
@@ -157,6 +157,15 @@
     pub over: u64,
 }
 
+impl std::ops::AddAssign for Restored {
+    fn add_assign(&mut self, more: Restored) {
+        self.taken += more.taken;
+        self.old += more.old;
+        self.ahead += more.ahead;
+        self.over += more.over;
+    }
+}
+
 /// Totals since the start and figures of now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
--- a/src/net/state.rs
+++ b/src/net/state.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use log::{error, info, warn};
-use sandgw_affinity::Record;
+use sandgw_affinity::Restored;
 use sandgw_affinity_store::writer::Writer;
 use sandgw_affinity_store::{Store, StoreError};
 
@@ -18,54 +18,56 @@
 /// How often old entries are dropped from the store.
 const PRUNE_EVERY: Millis = 600_000.0;
 
-/// A store that was read.
+/// A store that was opened.
 pub struct Kept {
     folder: PathBuf,
     store: Option<Store>,
-    records: Vec<Record>,
 }
 
-/// Opens the store and reads it. A folder that can't be used is refused: it is the operator's to mend. A file that
-/// can't be read is set aside and a disk that fails is waited for; the relay starts without what they hold.
+/// Opens the store. A folder that can't be used is refused: it is the operator's to mend. A file that can't be read
+/// is set aside and a disk that fails is waited for; the relay starts without what they hold.
 pub fn open(folder: &Path) -> io::Result<Kept> {
-    let mut kept = Kept { folder: folder.to_owned(), store: None, records: Vec::new() };
-    let opened = match Store::open(folder) {
-        Ok(opened) => opened,
+    let kept = |store| Kept { folder: folder.to_owned(), store };
+    match Store::open(folder) {
+        Ok(opened) => {
+            if let Some((aside, reason)) = opened.set_aside {
+                let aside = aside.display();
+                error!("state.folder: {reason}; it is kept as {aside}, and the relay starts empty");
+            }
+            Ok(kept(Some(opened.store)))
+        }
         Err(e @ (StoreError::InUse | StoreError::Folder(_))) => {
-            return Err(io::Error::other(format!("{}: {e}", folder.display())));
+            Err(io::Error::other(format!("{}: {e}", folder.display())))
         }
         Err(e) => {
             error!("state.folder: {}: {e}; starting without it", folder.display());
-            return Ok(kept);
-        }
-    };
-    if let Some((aside, reason)) = opened.set_aside {
-        error!("state.folder: {reason}; it is kept as {}, and the relay starts empty", aside.display());
-    }
-    match opened.store.load(|record| kept.records.push(record)) {
-        Ok(loaded) if loaded.damaged > 0 => {
-            warn!("state.folder: {} damaged entries are passed over", loaded.damaged);
+            Ok(kept(None))
         }
-        Ok(_) => {}
-        Err(e) => error!("state.folder: {e}; starting with what could be read"),
     }
-    kept.store = Some(opened.store);
-    Ok(kept)
 }
 
-/// Hands what was read to the core and starts the thread that writes.
+/// Hands what is in the store to the core and starts the thread that writes.
 pub fn restore(kept: Kept, relay: &mut Relay, now: Millis) -> io::Result<Writer> {
-    let done = relay.restore(now, kept.records.into_iter());
+    let mut done = Restored::default();
+    // One at a time: a folder may hold more than there is memory for.
+    match kept.store.as_ref().map(|s| s.load(|record| done += relay.restore(now, std::iter::once(record)))) {
+        Some(Ok(loaded)) if loaded.damaged > 0 => {
+            warn!("state.folder: {} damaged entries are passed over", loaded.damaged);
+        }
+        Some(Err(e)) => error!("state.folder: {e}; starting with what could be read"),
+        _ => {}
+    }
     info!(
         "state.folder: {} entries taken, {} too old, {} without room; they count once their streamers are listed",
         done.taken, done.old, done.over
     );
     if done.ahead > 0 {
+        let ahead = done.ahead;
         warn!(
-            "state.folder: {} entries were set later than now, and count as set now: was the clock stepped back?",
-            done.ahead
+            "state.folder: {ahead} entries were set later than now, and count as set now: was the clock stepped back?"
         );
     }
+    relay.keep();
     let folder = kept.folder;
     Writer::start(kept.store, Box::new(move || Store::open(&folder).map(|opened| opened.store)))
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -370,13 +370,16 @@
         self.settle(now);
     }
 
-    /// Takes what a store has kept of clients and groups, before the first list; and remembers from now on what
-    /// is to be kept.
+    /// Takes what a store has kept of clients and groups, before the first list.
     pub fn restore(&mut self, now: Millis, records: impl Iterator<Item = Record>) -> Restored {
-        self.balancer.memory.keep();
         self.balancer.memory.restore(now, records)
     }
 
+    /// From now on keys that are let go are remembered for [`Relay::changes`].
+    pub fn keep(&mut self) {
+        self.balancer.memory.keep();
+    }
+
     /// What has changed of clients and groups since the last call, so many entries at the most.
     pub fn changes(&mut self, now: Millis, most: usize) -> Changes {
         self.balancer.memory.changes(now, most)
