--- a/crates/affinity/tests/table.rs
+++ b/crates/affinity/tests/table.rs
@@ -178,7 +178,7 @@
     assert!(most <= bytes + 16_384, "{most} bytes for a bound of {bytes}");
 }
 
-/// Nothing else allocates either: clients, pieces told to others and keys on their way to the store.
+/// Clients, groups and keys on their way to the store. An answer to a relay that starts is not part of it.
 #[test]
 fn the_bound_in_bytes_holds_for_everything() {
     for bytes in [64 << 10, 1 << 20] {
