Answer operators at a second address, and stand by and come back at their call

Change: operations (no I/O) reads calls and paces moves; standby is a state of the core, which PING tells; net::ops has eight seats and a descriptor in reserve. Flows that their front leads elsewhere stay where packets pass through; all others, RTMP's too, are moved in steps by 2.5 s.

--- a/src/config.rs
+++ b/src/config.rs
@@ -43,6 +43,8 @@
     pub listen: Option<SocketAddr>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call; nowhere without it.
+    pub ops: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Where datagrams of other relays arrive.
@@ -154,6 +156,7 @@
         let mut platform = Reader::new(&base_file, &base, "", &mut faults);
         let (mut name, mut listen) = (platform.text("name"), platform.parsed("listen", ADDRESS));
         let mut discovery = platform.parsed("discovery", ADDRESS);
+        let mut ops = platform.parsed("ops", ADDRESS);
         let (mut peer_listen, mut peers) =
             (platform.parsed("peer_listen", ADDRESS), platform.list("peers", ADDRESS));
         let mut settings = &base["settings"];
@@ -161,8 +164,10 @@
         let mut variables = Reader::new(ENVIRONMENT, &Value::Null, "", &mut faults);
         let mut variable = |name: &str| environment.get(name).and_then(|v| variables.parse(name, v, ADDRESS));
         let (listen_there, discovery_there) = (variable("PROXY_LISTEN"), variable("PROXY_DISCOVERY"));
+        let ops_there = variable("PROXY_OPS");
         listen = listen.or(listen_there);
         discovery = discovery.or(discovery_there);
+        ops = ops.or(ops_there);
         name = name.or_else(|| environment.get("PROXY_NAME").cloned());
 
         let mut top = Reader::new(&app_file, &app, "", &mut faults);
@@ -173,9 +178,10 @@
         own_limits.known_keys(&["sockets", "first_line_ms"]);
         limits.read(&mut own_limits);
         let mut relay = Reader::new(&app_file, &app["relay"], "relay.", &mut faults);
-        relay.known_keys(&["name", "listen", "discovery", "peer_listen", "peers"]);
+        relay.known_keys(&["name", "listen", "ops", "discovery", "peer_listen", "peers"]);
         name = relay.text("name").or(name);
         listen = relay.parsed("listen", ADDRESS).or(listen);
+        ops = relay.parsed("ops", ADDRESS).or(ops);
         discovery = relay.parsed("discovery", ADDRESS).or(discovery);
         peer_listen = relay.parsed("peer_listen", ADDRESS).or(peer_listen);
         if let Some(own) = relay.list("peers", ADDRESS) {
@@ -232,6 +238,7 @@
                 name: name.unwrap_or_else(|| "sandgw".into()),
                 listen,
                 discovery,
+                ops,
                 seed,
                 peer_listen,
                 peers: peers.unwrap_or_default(),
@@ -262,6 +269,7 @@
         let left = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("ops", self.ops != new.ops),
             ("peer_listen", self.peer_listen != new.peer_listen),
             (
                 "settings",
--- a/src/front/line.rs
+++ b/src/front/line.rs
@@ -10,6 +10,7 @@
 
 use super::{Answer, Arrive, Front};
 use crate::interface::*;
+use crate::operations::Operation;
 use crate::relay::{Arrival, FixedResponse};
 
 /// Longest line, with its end.
@@ -81,7 +82,8 @@
             return None;
         }
         let text = |value: &str| Some(Key(Arc::from(value)));
-        let mut arrival = Arrival { client: text(key), sent_away: true, ..Arrival::default() };
+        let mut arrival =
+            Arrival { client: text(key), sent_away: true, led_elsewhere: true, ..Arrival::default() };
         let (mut left, mut seen) = (None, Vec::new());
         for pair in list.split(',') {
             let (name, value) = pair.split_once('=')?;
@@ -146,7 +148,7 @@
         self.patience
     }
 
-    fn arrive(&mut self, now: Millis, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive {
+    fn arrive(&mut self, now: Millis, does: Operation, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive {
         loop {
             let ends = input.iter().take(LINE_BYTES).any(|b| *b == b'\n');
             if !ends && input.len() < LINE_BYTES {
@@ -155,7 +157,11 @@
             let line = if ends { take_line(input) } else { None };
             let line = line.as_deref().and_then(|l| str::from_utf8(l).ok()).unwrap_or_default();
             if line == "PING" {
-                reply.extend_from_slice(b"PONG\r\n");
+                let word: &[u8] = match does {
+                    Operation::Active => b"PONG\r\n",
+                    Operation::Standby => b"STANDBY\r\n",
+                };
+                reply.extend_from_slice(word);
                 continue;
             }
             // Too long or malformed: nothing of it may reach a streamer.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,6 +9,7 @@
 use bytes::BytesMut;
 
 use crate::interface::{Millis, Outcome};
+use crate::operations::Operation;
 use crate::relay::{Arrival, FixedResponse};
 
 /// What has come of a client's bytes before its flow is placed.
@@ -38,8 +39,9 @@
     /// How long a client may take, from accept, until its flow is known.
     fn patience(&self) -> Millis;
 
-    /// Takes bytes of a client that is not placed yet, and consumes those that it understands.
-    fn arrive(&mut self, now: Millis, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive;
+    /// Takes bytes of a client that is not placed yet, and consumes those that it understands. Who asks how the
+    /// relay does is told what it does.
+    fn arrive(&mut self, now: Millis, does: Operation, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive;
 
     /// Whether a client may go on speaking before it has its answer.
     fn speaks_early(&self) -> bool {
--- a/src/front/rtmp/mod.rs
+++ b/src/front/rtmp/mod.rs
@@ -22,6 +22,7 @@
 use self::chunks::{COMMAND, Malformed, Reader, write_command};
 use super::{Answer, Arrive, Front};
 use crate::interface::*;
+use crate::operations::Operation;
 use crate::relay::{Arrival, FixedResponse};
 
 /// Most bytes from a client up to the end of its `connect`.
@@ -212,7 +213,7 @@
         (self.settings.give_up - MARGIN).max(0.0)
     }
 
-    fn arrive(&mut self, now: Millis, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive {
+    fn arrive(&mut self, now: Millis, _: Operation, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive {
         self.accepted.get_or_insert(now);
         loop {
             let step = match &mut self.stage {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod logger;
 mod memory;
 pub mod net;
+pub mod operations;
 pub mod peers;
 pub mod relay;
 pub mod rules;
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -11,9 +11,11 @@
 use tokio::sync::Notify;
 
 /// Descriptors of the program itself: standard streams (3), poller, waker and signals (4), listeners (2),
-/// datagrams (2), discovery's call, a file that is read, one accepted client for each listener (2), and as many
-/// again for what is let go but not closed yet.
+/// datagrams (2), discovery's call, a file that is read, one accepted client for each listener (2), the operators'
+/// address with a reserve (2) and its callers ([`CALLERS`]), and some for what is let go but not closed yet.
 const OWN: usize = 32;
+/// Most callers of the operators' address at a time.
+pub const CALLERS: usize = 8;
 /// One part in so many is never given to flows: a newcomer must be heard before it can be refused.
 const UNHEARD: usize = 8;
 
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -90,7 +90,8 @@
         let limit = self.shared.clock.at(accepted + self.front.patience());
         let arrival = loop {
             let now = self.shared.clock.now();
-            let arrive = self.front.arrive(now, &mut self.input, &mut self.reply);
+            let does = self.shared.relay.borrow().operation();
+            let arrive = self.front.arrive(now, does, &mut self.input, &mut self.reply);
             let written = timeout_at(limit, self.client.write_all_buf(&mut *self.reply)).await;
             match arrive {
                 _ if written.is_err() => return Ok(()),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod discovery;
 mod flow;
+mod ops;
 mod peers;
 mod pool;
 mod snmp;
@@ -227,6 +228,7 @@
         }
         None => None,
     };
+    let ops = config.ops.map(listen).transpose().map_err(named("ops"))?;
     let agent = match &config.snmp {
         Some(snmp) => Some(UdpSocket::bind(snmp.listen).await.map_err(named("snmp.listen"))?),
         None => None,
@@ -261,6 +263,10 @@
     spawn_local(discovery::watch(shared.clone()));
     spawn_local(peers::receive(shared.clone()));
     spawn_local(state::keep(shared.clone()));
+    if let Some(listener) = ops {
+        info!("operators call at {}", listener.local_addr()?);
+        spawn_local(ops::answer(shared.clone(), listener));
+    }
     if let Some(socket) = agent {
         spawn_local(snmp::answer(shared.clone(), socket));
     }
--- /dev/null
+++ b/src/operations.rs
@@ -0,0 +1,199 @@
+//! What operators ask of a running relay at its second address, and the pace at which one in standby empties.
+//! No socket: a driver feeds [`Caller`] what comes and writes the one line that it is given back.
+
+use std::fmt;
+
+use crate::interface::Millis;
+
+/// Longest call, with its end.
+pub const CALL_BYTES: usize = 64;
+/// New connections still come for so long after the first `STANDBY`, and whoever is told to move before the front
+/// has noticed may come back here.
+const MOVES_FROM: Millis = 300.0;
+/// By then everybody has been told. It leaves a second and a half for last words, and for those who were being placed.
+const MOVES_UNTIL: Millis = 2500.0;
+/// Between two steps of moves.
+pub const MOVE_STEP: Millis = 100.0;
+
+/// What operators may ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process can serve.
+    Status,
+    /// Empty the relay.
+    Standby,
+    /// End of the drain.
+    Active,
+}
+
+/// Why a call was not carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The line has nothing in it.
+    Empty,
+    /// It is no known call.
+    Unknown,
+    /// It has no end within [`CALL_BYTES`].
+    TooLong,
+    /// The caller ended, or waited, in the middle of it.
+    Cut,
+    /// Something follows it.
+    More,
+    /// The relay has no list of streamers yet.
+    NotReady,
+    /// Another process serves in this one's place.
+    HandedOver,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::Empty => "an empty call; known are status, standby, active",
+            Refusal::Unknown => "an unknown call; known are status, standby, active",
+            Refusal::TooLong => "a call is at most 64 bytes long",
+            Refusal::Cut => "the call has no end",
+            Refusal::More => "one call to a connection",
+            Refusal::NotReady => "not ready: no list of streamers yet",
+            Refusal::HandedOver => "handed over: a new process serves in this one's place",
+        })
+    }
+}
+
+/// What this process does for clients.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Operation {
+    /// It takes whoever comes.
+    #[default]
+    Active,
+    /// It tells the front that it wants nobody new.
+    Standby,
+}
+
+impl fmt::Display for Operation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Operation::Active => "active",
+            Operation::Standby => "standby",
+        })
+    }
+}
+
+/// One caller's bytes.
+#[derive(Debug, Default)]
+pub struct Caller {
+    bytes: Vec<u8>,
+}
+
+impl Caller {
+    /// Takes what a caller has sent, nothing at the end of its sending; gives its call once it is decided.
+    pub fn feed(&mut self, bytes: &[u8]) -> Option<Result<Call, Refusal>> {
+        let room = CALL_BYTES + 1 - self.bytes.len().min(CALL_BYTES);
+        self.bytes.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        let Some(end) = self.bytes.iter().position(|b| *b == b'\n') else {
+            let long = self.bytes.len() >= CALL_BYTES;
+            return (long || bytes.is_empty()).then_some(Err(if long {
+                Refusal::TooLong
+            } else {
+                Refusal::Cut
+            }));
+        };
+        if end + 1 < self.bytes.len() {
+            return Some(Err(Refusal::More));
+        }
+        let line = &self.bytes[..end];
+        Some(match line.strip_suffix(b"\r").unwrap_or(line) {
+            b"status" => Ok(Call::Status),
+            b"standby" => Ok(Call::Standby),
+            b"active" => Ok(Call::Active),
+            b"" => Err(Refusal::Empty),
+            _ => Err(Refusal::Unknown),
+        })
+    }
+}
+
+/// The line that answers a call.
+pub fn answer(result: Result<String, Refusal>) -> String {
+    match result {
+        Ok(says) => format!("done {says}\n"),
+        Err(refusal) => format!("error {refusal}\n"),
+    }
+}
+
+/// How many of so many flows that are still to be told are told now, so long after the relay was put on standby.
+pub fn moves_now(since: Millis, flows: usize) -> usize {
+    if since < MOVES_FROM {
+        return 0;
+    }
+    let steps = ((MOVES_UNTIL - since) / MOVE_STEP).floor().max(1.0);
+    (flows as f64 / steps).ceil() as usize
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fed(parts: &[&[u8]]) -> Option<Result<Call, Refusal>> {
+        let mut caller = Caller::default();
+        parts.iter().find_map(|part| caller.feed(part))
+    }
+
+    #[test]
+    fn a_call_is_read_however_it_is_cut_and_whichever_end_it_has() {
+        for (text, call) in [("status", Call::Status), ("standby", Call::Standby), ("active", Call::Active)] {
+            for end in ["\n", "\r\n"] {
+                let whole = format!("{text}{end}");
+                for at in 1..whole.len() {
+                    let (head, tail) = whole.as_bytes().split_at(at);
+                    assert_eq!(fed(&[head, tail]), Some(Ok(call)), "{whole:?} cut at {at}");
+                    assert_eq!(fed(&[head]), None, "{whole:?} without an end");
+                    assert_eq!(fed(&[head, b""]), Some(Err(Refusal::Cut)), "{whole:?} ended at {at}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn whatever_is_no_call_has_one_refusal() {
+        let long = [b'x'; 300];
+        let cases: [(&[u8], Refusal); 11] = [
+            (b"\n", Refusal::Empty),
+            (b"\r\n", Refusal::Empty),
+            (b"", Refusal::Cut),
+            (b"STATUS\n", Refusal::Unknown),
+            (b" status\n", Refusal::Unknown),
+            (b"status now\n", Refusal::Unknown),
+            (b"\xff\xfe\n", Refusal::Unknown),
+            (b"st\rtus\n", Refusal::Unknown),
+            (b"status\nstandby\n", Refusal::More),
+            (b"status\n\n", Refusal::More),
+            (&long, Refusal::TooLong),
+        ];
+        for (bytes, refusal) in cases {
+            assert_eq!(fed(&[bytes]), Some(Err(refusal)), "{bytes:?}");
+        }
+        // However much comes, no more than a call is kept.
+        let mut caller = Caller::default();
+        let parts = long.chunks(7).find_map(|part| caller.feed(part));
+        assert_eq!(parts, Some(Err(Refusal::TooLong)));
+        assert!(caller.bytes.len() <= CALL_BYTES + 1);
+    }
+
+    /// Whoever stands, and whoever comes to stand on the way, is told in time, and never many at once.
+    #[test]
+    fn all_are_told_in_steps_that_end_in_time() {
+        for flows in [0, 1, 2, 7, 100, 5000] {
+            let (mut left, mut at, mut most) = (flows, 0.0, 0);
+            while at <= MOVES_UNTIL {
+                if at == 1500.0 {
+                    left += flows / 10;
+                }
+                let now = moves_now(at, left);
+                assert!(now <= left && (now == 0 || at >= MOVES_FROM));
+                (left, most, at) = (left - now, most.max(now), at + MOVE_STEP);
+            }
+            assert_eq!(left, 0, "of {flows}");
+            assert!(most <= flows / 10 + 1, "{most} of {flows} at once");
+        }
+        assert_eq!(moves_now(MOVES_UNTIL + 1000.0, 3), 3, "those that come late are told at once");
+    }
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,10 +11,14 @@
 
 use crate::Balancer;
 use crate::interface::*;
+use crate::operations::{MOVE_STEP, Operation, moves_now};
 
 /// A flow: one connection of a client that asks to be placed. It is a request of the module.
 pub type FlowId = RequestId;
 
+/// Token of the core's own timer; the module's stay below.
+const EMPTY: u64 = 1 << 63;
+
 /// How many outcomes there are, for [`Counters::forwards`].
 pub const OUTCOMES: usize = 8;
 
@@ -39,6 +43,8 @@
     pub returned: bool,
     /// Its streamer sends it away by itself when it drains.
     pub sent_away: bool,
+    /// Where packets pass through, its front leads its packets through another relay when this one leaves.
+    pub led_elsewhere: bool,
     /// It can't be set up anew: only the streamer that holds it will do.
     pub holder_only: bool,
     /// The streamer that holds it since before the run.
@@ -141,6 +147,7 @@
     /// The final answer has been given; only the forward's end is still to come.
     answered: bool,
     holder_only: bool,
+    led_elsewhere: bool,
     moving: bool,
 }
 
@@ -159,6 +166,14 @@
 pub struct Relay {
     pub(crate) balancer: Balancer,
     classes: Vec<String>,
+    /// Packets pass through: flows that their front can lead elsewhere need not be moved off this relay.
+    passes: bool,
+    /// Since when it is on standby.
+    standby: Option<Millis>,
+    /// The timer of the steps in which a relay on standby empties is under way.
+    emptying: bool,
+    /// It has been given a list of streamers.
+    listed: bool,
     max_attempts: u32,
     /// Over this a message counts as slow: a third of the shortest aim, as in the simulator.
     slow_over: Millis,
@@ -174,11 +189,16 @@
     /// A relay that knows the list as it was last held. `classes` are the names of the settings' classes.
     pub fn new(settings: Settings, classes: Vec<String>, seed: u64, now: Millis) -> Self {
         let aims = settings.classes.iter().filter_map(|c| c.message_aim);
+        let passes = settings.passes;
         Relay {
             max_attempts: settings.max_attempts,
             slow_over: aims.fold(f64::INFINITY, f64::min) / 3.0,
             balancer: Balancer::new(settings, seed, now),
             classes,
+            passes,
+            standby: None,
+            emptying: false,
+            listed: false,
             flows: HashMap::new(),
             targets: BTreeMap::new(),
             next: 0,
@@ -235,9 +255,14 @@
             returned: arrival.returned,
             sent_away: arrival.sent_away,
         };
-        let holder_only = arrival.holder_only;
-        let mut flow =
-            Flow { stage: Stage::Waiting, attempts: 0, answered: false, holder_only, moving: false };
+        let mut flow = Flow {
+            stage: Stage::Waiting,
+            attempts: 0,
+            answered: false,
+            holder_only: arrival.holder_only,
+            led_elsewhere: arrival.led_elsewhere,
+            moving: false,
+        };
         match arrival.at {
             None => self.events.push_back(Event::Request(request)),
             Some(target) => {
@@ -359,6 +384,7 @@
         }
         let gone = |t: &Target| matches!(t.state, None | Some(ServerState::Gone));
         self.targets.retain(|_, t| !gone(t) || t.standing > 0);
+        self.listed |= kind == ListKind::Full || !servers.is_empty();
         self.events.push_back(Event::List { kind, servers });
         self.settle(now);
     }
@@ -371,10 +397,61 @@
 
     /// A timer is due.
     pub fn timer(&mut self, now: Millis, token: u64) {
+        if token == EMPTY {
+            return self.empty(now);
+        }
         self.events.push_back(Event::Timer(token));
         self.settle(now);
     }
 
+    /// What it does for clients.
+    pub fn operation(&self) -> Operation {
+        if self.standby.is_some() { Operation::Standby } else { Operation::Active }
+    }
+
+    /// Whether it has a list of streamers to place flows on.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Wants nobody new from now on, and tells those to move that can't stay; a second call changes nothing.
+    pub fn stand_by(&mut self, now: Millis) {
+        self.standby.get_or_insert(now);
+        if !std::mem::replace(&mut self.emptying, true) {
+            self.commands.push(Command::Timer { after: MOVE_STEP, token: EMPTY });
+        }
+    }
+
+    /// Takes whoever comes again. Who was told to move goes all the same, nobody else is told.
+    pub fn activate(&mut self) {
+        self.standby = None;
+    }
+
+    /// One step of emptying. Those who come to stand between two steps are told with the next.
+    fn empty(&mut self, now: Millis) {
+        let Some(since) = self.standby else {
+            self.emptying = false;
+            return;
+        };
+        let told = |f: &Flow| matches!(f.stage, Stage::Standing(_)) && !f.moving;
+        let stays = |f: &Flow| self.passes && f.led_elsewhere;
+        let flows = self.flows.iter().filter(|(_, f)| told(f) && !stays(f));
+        let mut flows: Vec<FlowId> = flows.map(|(id, _)| *id).collect();
+        flows.sort_unstable();
+        flows.truncate(moves_now(now - since, flows.len()));
+        flows.into_iter().for_each(|id| self.tell_to_move(id));
+        self.commands.push(Command::Timer { after: MOVE_STEP, token: EMPTY });
+    }
+
+    fn tell_to_move(&mut self, id: FlowId) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        // Asked for twice while the streamer's last message is awaited, it is still one move.
+        if matches!(flow.stage, Stage::Standing(_)) && !std::mem::replace(&mut flow.moving, true) {
+            self.counters.moves += 1;
+            self.commands.push(Command::Flow(id, FlowCommand::Move));
+        }
+    }
+
     /// Takes what a store has kept of clients and groups, before the first list.
     pub fn restore(&mut self, now: Millis, records: impl Iterator<Item = Record>) -> Restored {
         self.balancer.memory.restore(now, records)
@@ -417,14 +494,7 @@
                 self.answer(request, FixedResponse::Failed);
                 self.flows.remove(&request);
             }
-            Action::Move(request) => {
-                let Some(flow) = self.flows.get_mut(&request) else { return };
-                // Asked for twice while the streamer's last message is awaited, it is still one move.
-                if matches!(flow.stage, Stage::Standing(_)) && !std::mem::replace(&mut flow.moving, true) {
-                    self.counters.moves += 1;
-                    self.commands.push(Command::Flow(request, FlowCommand::Move));
-                }
-            }
+            Action::Move(request) => self.tell_to_move(request),
             Action::Timer { after, token } => self.commands.push(Command::Timer { after, token }),
             Action::Watch => self.commands.push(Command::Watch),
             Action::Tell { peer, message } => self.commands.push(Command::Tell { peer, message }),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -164,6 +164,7 @@
     pub line: String,
     pub rtmp: String,
     pub snmp: String,
+    pub ops: String,
     folder: tempfile::TempDir,
 }
 
@@ -177,8 +178,9 @@
 /// The platform's file for a relay. What it knows of the list is what discovery has now.
 fn platform(line: &str, peers: &[String], me: usize, discovery: &Discovery, sockets: u32) -> String {
     format!(
-        r#"{{"name":"n0","limits":{{"sockets":{sockets}}},"listen":"{line}","discovery":"{}","seed":"1","peer_listen":"{}","peers":{peers:?},
+        r#"{{"name":"n0","limits":{{"sockets":{sockets}}},"listen":"{line}","ops":"{}","discovery":"{}","seed":"1","peer_listen":"{}","peers":{peers:?},
         "known":{},"settings":{}}}"#,
+        line.replace("8443", "8444"),
         discovery.address,
         peers[me],
         discovery.json(0),
@@ -218,7 +220,7 @@
         more: &str,
     ) -> Relay {
         let (host, folder) = (&tier[me], tempfile::tempdir().unwrap());
-        let [line, rtmp, snmp] = [8443, 1935, 1161].map(|port| format!("{host}:{port}"));
+        let [line, rtmp, snmp, ops] = [8443, 1935, 1161, 8444].map(|port| format!("{host}:{port}"));
         let peers: Vec<_> = tier.iter().map(|host| format!("{host}:7946")).collect();
         let file = format!(
             "[rtmp]\nlisten = \"{rtmp}\"\nclass = \"subtitle-stream\"\ntrusted = [\"127.0.0.1\"]\n\
@@ -232,7 +234,7 @@
         let log = std::fs::File::create(folder.path().join("log")).unwrap();
         command.arg("run").arg(app).env("PROXY_CONFIG", config).env("PROXY_DISCOVERY", &discovery.address);
         let child = command.stderr(Stdio::from(log)).spawn();
-        let relay = Relay { child: child.unwrap(), line, rtmp, snmp, folder };
+        let relay = Relay { child: child.unwrap(), line, rtmp, snmp, ops, folder };
         let start = Instant::now();
         while TcpStream::connect(&relay.line).is_err() {
             assert!(start.elapsed() < LONG, "the relay does not start");
@@ -241,6 +243,13 @@
         relay
     }
 
+    /// What operators are answered when they send this, without its end.
+    pub fn call(&self, text: &[u8]) -> String {
+        let mut caller = connect(&self.ops);
+        caller.write_all(text).unwrap();
+        Client(BufReader::new(caller)).line()
+    }
+
     pub fn client(&self) -> Client {
         Client(BufReader::new(connect(&self.line)))
     }
@@ -270,7 +279,7 @@
         self.signal("TERM");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
         assert!(kill.unwrap().success());
     }
--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -393,3 +393,17 @@
         .unwrap();
     assert!(late <= Duration::from_secs(1), "a send {late:?} after the notice");
 }
+
+/// No front can lead an RTMP flow elsewhere by itself: on standby all of them are moved, whatever the settings say of
+/// lines.
+#[test]
+fn on_standby_a_flow_is_told_to_reconnect() {
+    let _alone = alone();
+    let (_discovery, relay) = fleet(&[streamer("one", TAKES, PACE)]);
+    let (mut client, _) = Peer::open(&relay, "vod/1", &[]);
+    client.number().unwrap();
+    assert_eq!(relay.call(b"standby\n"), "done standby, 1 standing");
+    let told = client.told();
+    assert!(told.contains("NetConnection.Connect.ReconnectRequest"), "{told}");
+    until("it is gone", || relay.call(b"status\n") == "done standby, 0 standing");
+}
