--- a/src/config.rs
+++ b/src/config.rs
@@ -45,6 +45,10 @@
     pub discovery: SocketAddr,
     /// Where operators call; nowhere without it.
     pub ops: Option<SocketAddr>,
+    /// The clients' listening socket, where the platform holds it: the number of an inherited descriptor.
+    pub passed_socket: Option<i32>,
+    /// The folder in which a new process finds the running one, to take the relay over.
+    pub handover: Option<PathBuf>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Where datagrams of other relays arrive.
@@ -185,6 +189,12 @@
         ops = ops.or(ops_there);
         name = name.or_else(|| environment.get("PROXY_NAME").cloned());
 
+        let passed_socket = environment
+            .get("PROXY_PASSED_SOCKET")
+            .and_then(|text| variables.parse("PROXY_PASSED_SOCKET", text, "the number of a descriptor"));
+        // Who holds the socket starts new versions beside the running one, and keeps this folder for both.
+        let shared = passed_socket.and(environment.get("TMPDIR")).map(PathBuf::from);
+
         let mut top = Reader::new(&app_file, &app, "", &mut faults);
         let tables = ["relay", "limits", "rtmp", "snmp", "state", "settings"];
         top.known_keys(&tables);
@@ -193,8 +203,12 @@
         own_limits.known_keys(&["sockets", "first_line_ms"]);
         limits.read(&mut own_limits);
         let mut relay = Reader::new(&app_file, &app["relay"], "relay.", &mut faults);
-        relay.known_keys(&["name", "listen", "ops", "discovery", "peer_listen", "peers"]);
+        relay.known_keys(&["name", "listen", "ops", "handover", "discovery", "peer_listen", "peers"]);
         name = relay.text("name").or(name);
+        let handover = relay.text("handover").map(PathBuf::from).or(shared);
+        if handover.is_some() && app["state"].is_object() {
+            relay.fault("handover", "is not possible with [state] yet: the folder admits one process");
+        }
         listen = relay.parsed("listen", ADDRESS).or(listen);
         ops = relay.parsed("ops", ADDRESS).or(ops);
         discovery = relay.parsed("discovery", ADDRESS).or(discovery);
@@ -254,6 +268,8 @@
                 listen,
                 discovery,
                 ops,
+                passed_socket,
+                handover,
                 seed,
                 peer_listen,
                 peers: peers.unwrap_or_default(),
@@ -301,6 +317,7 @@
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("ops", self.ops != new.ops),
+            ("handover", self.handover != new.handover),
             ("peer_listen", self.peer_listen != new.peer_listen),
             ("state", self.state != new.state),
             ("limits.sockets", self.limits.sockets != new.limits.sockets),
--- /dev/null
+++ b/src/handover.rs
@@ -0,0 +1,362 @@
+//! How one process passes a relay to the next: the messages, and each side's steps. No socket: a driver sends what it
+//! is told to, and says what it has heard and when the other side is gone.
+//!
+//! One of the two accepts and places at any time. The old one ([`Elder`]) stops before it yields and takes accepting
+//! back only while the new one can't have begun; the new one ([`Successor`]) begins only once it is told that the
+//! relay is its own.
+
+use std::fmt;
+
+use bytes::{Buf, BytesMut};
+use sandgw_affinity::Record;
+use serde::{Deserialize, Serialize};
+
+use crate::carry::Carried;
+use crate::interface::Millis;
+
+/// Form of the messages; processes of different forms don't hand over.
+pub const FORM: u32 = 1;
+/// Longest message. Pieces are far shorter.
+const MOST_BYTES: usize = 256 * 1024;
+/// Entries of the tables in one piece.
+pub const RECORDS: usize = 512;
+/// Entries of the list in one piece.
+pub const MEMBERS: usize = 64;
+/// Most sockets that are passed.
+pub const SOCKETS: usize = 8;
+/// How long the old process waits for a new one's first word, until it has all, and for its claim.
+const FIRST_WORD: Millis = 1000.0;
+const ABSORBED: Millis = 10_000.0;
+const CLAIMED: Millis = 1000.0;
+/// How long the new process waits for each step of the old one.
+const STEP: Millis = 2000.0;
+
+/// What the two tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The new process is there, of the relay of this name.
+    Hello {
+        /// Its form of messages.
+        form: u32,
+        /// The relay's name.
+        name: String,
+    },
+    /// It can't be handed over now.
+    Refused(String),
+    /// A part of the list of streamers, in discovery's form.
+    List {
+        /// Where it is from.
+        discovery: String,
+        /// Its version, where it is known.
+        revision: Option<u64>,
+        /// Entries.
+        members: Vec<String>,
+    },
+    /// Entries of clients and groups.
+    Records(Vec<Record>),
+    /// What the module has learned.
+    Carried(Carried),
+    /// Sockets, by their keys and addresses; the descriptors come beside it in this order.
+    Sockets(Vec<String>),
+    /// That was all.
+    Whole,
+    /// The new process has all.
+    Take,
+    /// The old process has stopped accepting.
+    Yield {
+        /// Descriptors that it holds.
+        descriptors: u32,
+        /// How long it has been on standby, if it is.
+        standby: Option<Millis>,
+        /// How long from now no new connection may go to a cold streamer.
+        cold_in: Millis,
+    },
+    /// The new process is ready to accept.
+    Claim,
+    /// It may: the old process never accepts again while the new one lives.
+    Yours,
+    /// Descriptors that the old process holds now.
+    Held {
+        /// How many.
+        descriptors: u32,
+    },
+}
+
+/// Why bytes are no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("it speaks another form")
+    }
+}
+
+/// Writes a message with its length.
+pub fn encode(message: &Message) -> Vec<u8> {
+    // It fails for want of memory only.
+    let body = postcard::to_allocvec(message).unwrap_or_default();
+    let mut frame = (body.len() as u32).to_le_bytes().to_vec();
+    frame.extend_from_slice(&body);
+    frame
+}
+
+/// Reads messages as their bytes come in.
+#[derive(Debug, Default)]
+pub struct Frames {
+    bytes: BytesMut,
+}
+
+impl Frames {
+    /// Takes more bytes.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, if it has come.
+    pub fn message(&mut self) -> Result<Option<Message>, Malformed> {
+        let Some(head) = self.bytes.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_le_bytes(*head) as usize;
+        if length > MOST_BYTES {
+            return Err(Malformed);
+        }
+        if self.bytes.len() < 4 + length {
+            return Ok(None);
+        }
+        self.bytes.advance(4);
+        let body = self.bytes.split_to(length);
+        postcard::from_bytes(&body).map(Some).map_err(|_| Malformed)
+    }
+}
+
+/// What the old process does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ElderStep {
+    /// Send all that it has, then [`Message::Whole`].
+    Snapshot,
+    /// Stop accepting, then send what has changed and [`Message::Yield`].
+    Yield,
+    /// Send [`Message::Yours`]; nothing is accepted here from now on.
+    HandOver,
+    /// Send why not, and close.
+    Refuse(&'static str),
+}
+
+/// The old process's side of one hand-over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Elder {
+    /// Somebody has come who has not said what he is.
+    #[default]
+    Asked,
+    /// He is being told all.
+    Told,
+    /// Accepting has stopped, and he has not claimed the relay.
+    Yielded,
+    /// The relay is his.
+    HandedOver,
+}
+
+impl Elder {
+    /// Takes what the new process says to the relay of this name.
+    pub fn hears(&mut self, message: &Message, name: &str) -> ElderStep {
+        let (next, step) = match (*self, message) {
+            (Elder::Asked, Message::Hello { form, .. }) if *form != FORM => {
+                return ElderStep::Refuse("it speaks another form");
+            }
+            (Elder::Asked, Message::Hello { name: other, .. }) if other != name => {
+                return ElderStep::Refuse("it is another relay");
+            }
+            (Elder::Asked, Message::Hello { .. }) => (Elder::Told, ElderStep::Snapshot),
+            (Elder::Told, Message::Take) => (Elder::Yielded, ElderStep::Yield),
+            (Elder::Yielded, Message::Claim) => (Elder::HandedOver, ElderStep::HandOver),
+            _ => return ElderStep::Refuse("out of turn"),
+        };
+        *self = next;
+        step
+    }
+
+    /// How long the next word may take.
+    pub fn patience(self) -> Option<Millis> {
+        match self {
+            Elder::Asked => Some(FIRST_WORD),
+            Elder::Told => Some(ABSORBED),
+            Elder::Yielded => Some(CLAIMED),
+            Elder::HandedOver => None,
+        }
+    }
+
+    /// The new process is gone, or has been given up: whether this one is to accept again. Where it was told to end
+    /// it finishes what it has, unless the relay was still its own.
+    pub fn takes_back(self, terminated: bool) -> bool {
+        match self {
+            Elder::Asked | Elder::Told => false,
+            Elder::Yielded => true,
+            Elder::HandedOver => !terminated,
+        }
+    }
+}
+
+/// What the new process does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SuccessorStep {
+    /// Take in what has come.
+    Absorb,
+    /// It has all: send [`Message::Take`].
+    Take,
+    /// Take in what has come, make ready, and send [`Message::Claim`].
+    Claim,
+    /// Accept.
+    Serve,
+    /// Give up.
+    Fail(String),
+}
+
+/// The new process's side of one hand-over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Successor {
+    /// It has said what it is, and is being told all.
+    #[default]
+    Asking,
+    /// It has asked for the relay.
+    Taking,
+    /// It has claimed it.
+    Claiming,
+    /// It accepts.
+    Owner,
+}
+
+impl Successor {
+    /// Takes what the old process says.
+    pub fn hears(&mut self, message: &Message) -> SuccessorStep {
+        use Message::*;
+        let (next, step) = match (*self, message) {
+            (_, Refused(why)) => return SuccessorStep::Fail(format!("the running process refuses: {why}")),
+            (Successor::Asking, List { .. } | Records(_) | Carried(_) | Sockets(_)) => {
+                (Successor::Asking, SuccessorStep::Absorb)
+            }
+            (Successor::Asking, Whole) => (Successor::Taking, SuccessorStep::Take),
+            (Successor::Taking, Records(_)) => (Successor::Taking, SuccessorStep::Absorb),
+            (Successor::Taking, Yield { .. }) => (Successor::Claiming, SuccessorStep::Claim),
+            (Successor::Claiming, Yours) => (Successor::Owner, SuccessorStep::Serve),
+            (Successor::Owner, Records(_) | Held { .. }) => (Successor::Owner, SuccessorStep::Absorb),
+            _ => return SuccessorStep::Fail("the running process speaks out of turn".into()),
+        };
+        *self = next;
+        step
+    }
+
+    /// How long the next word may take.
+    pub fn patience(self) -> Option<Millis> {
+        (self != Successor::Owner).then_some(STEP)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn hello() -> Message {
+        Message::Hello { form: FORM, name: "n0".into() }
+    }
+
+    fn yielded() -> Message {
+        Message::Yield { descriptors: 9, standby: None, cold_in: -1.0 }
+    }
+
+    /// One hand-over between two sides that are cut off from each other after so many messages: who accepts then.
+    fn cut_after(messages: usize, terminated: bool) -> (bool, bool) {
+        let (mut elder, mut successor) = (Elder::default(), Successor::default());
+        let (mut elder_accepts, mut successor_accepts, mut sent) = (true, false, 0);
+        let mut queue = std::collections::VecDeque::from([(true, hello())]);
+        while let Some((to_elder, message)) = queue.pop_front() {
+            assert!(!(elder_accepts && successor_accepts));
+            if sent == messages {
+                break;
+            }
+            sent += 1;
+            if to_elder {
+                match elder.hears(&message, "n0") {
+                    ElderStep::Snapshot => {
+                        queue.push_back((false, Message::Records(Vec::new())));
+                        queue.push_back((false, Message::Whole));
+                    }
+                    ElderStep::Yield => {
+                        elder_accepts = false;
+                        queue.push_back((false, yielded()));
+                    }
+                    ElderStep::HandOver => queue.push_back((false, Message::Yours)),
+                    ElderStep::Refuse(why) => panic!("{why}"),
+                }
+            } else {
+                match successor.hears(&message) {
+                    SuccessorStep::Absorb => {}
+                    SuccessorStep::Take => queue.push_back((true, Message::Take)),
+                    SuccessorStep::Claim => queue.push_back((true, Message::Claim)),
+                    SuccessorStep::Serve => successor_accepts = true,
+                    SuccessorStep::Fail(why) => panic!("{why}"),
+                }
+            }
+        }
+        if !successor_accepts {
+            // It is gone; it never accepts by this link.
+            elder_accepts |= elder.takes_back(terminated);
+        }
+        (elder_accepts, successor_accepts)
+    }
+
+    #[test]
+    fn wherever_it_is_cut_exactly_one_accepts() {
+        for messages in 0..=7 {
+            let (elder, successor) = cut_after(messages, false);
+            assert!(elder != successor, "after {messages} messages: {elder} {successor}");
+        }
+        assert_eq!(cut_after(7, false), (false, true), "all of it");
+        // Told to end before it has handed over, it serves on as ever where the other fails.
+        for messages in 0..=5 {
+            assert_eq!(cut_after(messages, true), (true, false), "after {messages} messages");
+        }
+        // The relay had been given away: it finishes what it has.
+        assert_eq!(cut_after(6, true), (false, false));
+    }
+
+    #[test]
+    fn who_speaks_out_of_turn_or_is_another_is_refused() {
+        let mut elder = Elder::default();
+        assert!(matches!(elder.hears(&Message::Take, "n0"), ElderStep::Refuse(_)));
+        assert!(matches!(elder.hears(&hello(), "n1"), ElderStep::Refuse("it is another relay")));
+        let newer = Message::Hello { form: FORM + 1, name: "n0".into() };
+        assert!(matches!(elder.hears(&newer, "n0"), ElderStep::Refuse("it speaks another form")));
+        assert_eq!(elder, Elder::Asked, "none of it counts");
+        let mut successor = Successor::default();
+        for early in [Message::Yours, yielded(), Message::Held { descriptors: 1 }, hello()] {
+            assert!(matches!(successor.hears(&early), SuccessorStep::Fail(_)), "{early:?}");
+        }
+        assert_eq!(successor, Successor::Asking);
+        assert_eq!(
+            successor.hears(&Message::Refused("busy".into())),
+            SuccessorStep::Fail("the running process refuses: busy".into())
+        );
+    }
+
+    #[test]
+    fn messages_are_read_however_they_are_cut_and_what_is_none_is_refused() {
+        let messages = [hello(), yielded(), Message::Sockets(vec!["a".into()]), Message::Yours];
+        let bytes: Vec<u8> = messages.iter().flat_map(encode).collect();
+        for size in 1..bytes.len() {
+            let (mut frames, mut read) = (Frames::default(), Vec::new());
+            for part in bytes.chunks(size) {
+                frames.feed(part);
+                while let Some(message) = frames.message().unwrap() {
+                    read.push(message);
+                }
+            }
+            assert_eq!(read, messages, "in parts of {size}");
+        }
+        let mut frames = Frames::default();
+        frames.feed(&u32::MAX.to_le_bytes());
+        assert_eq!(frames.message(), Err(Malformed));
+        let mut frames = Frames::default();
+        frames.feed(&[2, 0, 0, 0, 250, 1]);
+        assert_eq!(frames.message(), Err(Malformed));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod carry;
 mod classes;
 pub mod config;
 pub mod front;
+pub mod handover;
 pub mod interface;
 pub mod logger;
 mod memory;
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -14,6 +14,11 @@
 /// datagrams (2), discovery's call, a file that is read, one accepted client for each listener (2), the operators'
 /// address with a reserve (2) and its callers ([`CALLERS`]), and some for what is let go but not closed yet.
 const OWN: usize = 32;
+/// Clients that are heard whatever another process of this relay holds: else nobody could be refused, even.
+const LEAST: usize = 8;
+/// What a process that can hand over holds besides: the socket that it is found by, a link to the other process, what
+/// is to be passed (4), and some on their way.
+pub const HANDOVER: usize = 8;
 /// Most callers of the operators' address at a time.
 pub const CALLERS: usize = 8;
 /// One part in so many is never given to flows: a newcomer must be heard before it can be refused.
@@ -21,7 +26,9 @@
 
 /// Counts descriptors.
 pub struct Admission {
-    limit: usize,
+    /// What the process may hold but for its own, and what another process of this relay holds of that.
+    most: usize,
+    others: Cell<usize>,
     used: Cell<usize>,
     flows: Cell<usize>,
     next: Cell<u64>,
@@ -31,10 +38,11 @@
 }
 
 impl Admission {
-    /// For a process that may hold so many.
-    pub fn new(descriptors: usize) -> Rc<Self> {
+    /// For a process that may hold so many, and needs `more` for its own than most.
+    pub fn new(descriptors: usize, more: usize) -> Rc<Self> {
         Rc::new(Admission {
-            limit: descriptors.saturating_sub(OWN).max(OWN),
+            most: descriptors.saturating_sub(OWN + more).max(OWN),
+            others: Cell::new(0),
             used: Cell::new(0),
             flows: Cell::new(0),
             next: Cell::new(0),
@@ -43,9 +51,31 @@
         })
     }
 
+    /// Another process of this relay holds so many: the two have one limit.
+    pub fn set_others(&self, descriptors: usize) {
+        if self.others.replace(descriptors) > descriptors {
+            // Whoever waits looks again.
+            self.freed.notify_waiters();
+        }
+    }
+
+    /// What this process holds, with its own.
+    pub fn held(&self) -> usize {
+        self.used.get() + OWN
+    }
+
+    /// Whether no client is here.
+    pub fn is_empty(&self) -> bool {
+        self.used.get() == 0
+    }
+
+    fn limit(&self) -> usize {
+        self.most.saturating_sub(self.others.get()).max(LEAST)
+    }
+
     /// A seat for a client that was just accepted, once there is one.
     pub async fn seat(self: &Rc<Self>) -> Seat {
-        while self.used.get() >= self.limit {
+        while self.used.get() >= self.limit() {
             // Flows leave room for others, so somebody is there or already on the way out.
             self.clear();
             self.freed.notified().await;
@@ -92,7 +122,7 @@
     /// The connection asks to be placed and needs a descriptor for its forwards; whether it gets one.
     pub fn ask(&self) -> bool {
         let a = &self.admission;
-        let most = (a.limit - a.limit / UNHEARD) / 2;
+        let most = (a.limit() - a.limit() / UNHEARD) / 2;
         // One that was told to make room is on its way out.
         if a.flows.get() >= most || a.idle.borrow_mut().remove(&self.id).is_none() {
             return false;
@@ -100,7 +130,7 @@
         self.flow.set(true);
         a.flows.set(a.flows.get() + 1);
         a.used.set(a.used.get() + 1);
-        if a.used.get() > a.limit {
+        if a.used.get() > a.limit() {
             a.clear();
         }
         true
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,445 @@
+//! Drives the hand-over between two processes of a relay: a Unix socket in a folder that both know.
+
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::os::unix::fs::{FileTypeExt, MetadataExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{error, info, warn};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use sandgw_affinity::Record;
+use serde_json::Value;
+use tokio::io::{AsyncWriteExt, Interest};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::time::timeout;
+
+use super::{Shared, span};
+use crate::carry::Carried;
+use crate::handover::{
+    Elder, ElderStep, FORM, Frames, MEMBERS, Message, RECORDS, SOCKETS, Successor, SuccessorStep, encode,
+};
+use crate::interface::ListKind;
+
+/// The socket's name in the folder.
+const NAME: &str = "sandgw-handover";
+/// How often the old process tells what it holds.
+const REPORT: Duration = Duration::from_millis(100);
+/// How long the other process may take to read a message.
+const SEND: Duration = Duration::from_secs(2);
+/// How often the relay is asked for, where the running process breaks the link.
+const TRIES: u32 = 3;
+
+/// A connection to the other process.
+struct Link {
+    stream: UnixStream,
+    frames: Frames,
+    /// Descriptors that came beside the messages, not taken yet.
+    sockets: Vec<OwnedFd>,
+}
+
+impl Link {
+    fn new(stream: UnixStream) -> Self {
+        Link { stream, frames: Frames::default(), sockets: Vec::new() }
+    }
+
+    /// The next message. It loses nothing when dropped on the way.
+    async fn next(&mut self) -> io::Result<Message> {
+        loop {
+            let message = self.frames.message().map_err(|e| io::Error::other(e.to_string()))?;
+            if let Some(message) = message {
+                return Ok(message);
+            }
+            self.stream.readable().await?;
+            let mut bytes = [0; 4096];
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let read = self.stream.try_io(Interest::READABLE, || {
+                let mut parts = [IoSliceMut::new(&mut bytes)];
+                Ok(recvmsg(&self.stream, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC)?.bytes)
+            });
+            let read = match read {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => read,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(e) => return Err(e),
+            };
+            for part in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(sockets) = part {
+                    self.sockets.extend(sockets);
+                }
+            }
+            self.sockets.truncate(SOCKETS);
+            self.frames.feed(&bytes[..read]);
+        }
+    }
+
+    async fn send(&mut self, message: &Message, sockets: &[BorrowedFd<'_>]) -> io::Result<()> {
+        let bytes = encode(message);
+        let sent = async {
+            let mut first = 0;
+            while first == 0 {
+                self.stream.writable().await?;
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(SOCKETS))];
+                let mut control = SendAncillaryBuffer::new(&mut space);
+                if !sockets.is_empty() && !control.push(SendAncillaryMessage::ScmRights(sockets)) {
+                    return Err(io::Error::other("too many sockets"));
+                }
+                let written = self.stream.try_io(Interest::WRITABLE, || {
+                    let parts = [IoSlice::new(&bytes)];
+                    Ok(sendmsg(&self.stream, &parts, &mut control, SendFlags::NOSIGNAL)?)
+                });
+                match written {
+                    Ok(n) => first = n,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(e) => return Err(e),
+                }
+            }
+            self.stream.write_all(&bytes[first..]).await
+        };
+        timeout(SEND, sent).await?
+    }
+}
+
+/// Sockets that were handed over, by key and address.
+pub type Handed = Vec<(String, OwnedFd)>;
+
+// --- the new process ---
+
+/// The running process, which has told all that it has and still serves.
+pub struct Predecessor {
+    link: Link,
+    step: Successor,
+}
+
+/// Why the relay was not had from the running process.
+pub enum Failed {
+    /// The link broke.
+    Broken(io::Error),
+    /// It is said why.
+    Refused(io::Error),
+}
+
+fn refused(why: impl ToString) -> Failed {
+    Failed::Refused(io::Error::other(format!("hand-over: {}", why.to_string())))
+}
+
+impl Predecessor {
+    async fn next(&mut self) -> Result<(Message, SuccessorStep), Failed> {
+        let message = match self.step.patience() {
+            Some(patience) => timeout(span(patience), self.link.next()).await,
+            None => Ok(self.link.next().await),
+        };
+        let message = message.map_err(|_| refused("the running process does not answer"))?;
+        let message = message.map_err(Failed::Broken)?;
+        match self.step.hears(&message) {
+            SuccessorStep::Fail(why) => Err(refused(why)),
+            step => Ok((message, step)),
+        }
+    }
+}
+
+/// Asks the running process for all that it has; nothing where there is none.
+pub async fn ask(shared: &Rc<Shared>, folder: &Path, handed: &mut Handed) -> io::Result<Option<Predecessor>> {
+    for _ in 0..TRIES {
+        let stream = match UnixStream::connect(folder.join(NAME)).await {
+            Ok(stream) => stream,
+            Err(e) => {
+                use io::ErrorKind::{ConnectionRefused, NotFound};
+                // Nobody was there, or who was has ended without a word.
+                let alone = matches!(e.kind(), ConnectionRefused | NotFound);
+                return if alone { Ok(None) } else { Err(e) };
+            }
+        };
+        let mut old = Predecessor { link: Link::new(stream), step: Successor::default() };
+        match absorb(shared, &mut old, handed).await {
+            Ok(()) => return Ok(Some(old)),
+            Err(Failed::Refused(e)) => return Err(e),
+            Err(Failed::Broken(e)) => warn!("hand-over: the running process has broken off: {e}"),
+        }
+    }
+    Err(io::Error::other("hand-over: the running process breaks off again and again"))
+}
+
+async fn absorb(shared: &Rc<Shared>, old: &mut Predecessor, handed: &mut Handed) -> Result<(), Failed> {
+    let name = shared.config.borrow().name.clone();
+    old.link.send(&Message::Hello { form: FORM, name }, &[]).await.map_err(Failed::Broken)?;
+    let mut list: Option<(Option<u64>, Vec<Value>)> = None;
+    loop {
+        let (message, step) = old.next().await?;
+        match message {
+            Message::List { discovery, revision, members } => {
+                let same = discovery == shared.config.borrow().discovery.to_string();
+                let read = members.iter().map(|m| serde_json::from_str(m));
+                let read = read.collect::<Result<Vec<Value>, _>>().map_err(refused)?;
+                let list = list.get_or_insert((revision.filter(|_| same), Vec::new()));
+                list.1.extend(read);
+            }
+            Message::Records(records) => restore(shared, records),
+            Message::Sockets(keys) => handed.extend(keys.into_iter().zip(old.link.sockets.drain(..))),
+            // The list comes first: what was learned is of its streamers.
+            Message::Carried(piece) => {
+                known(shared, list.take()).map_err(refused)?;
+                shared.core(|relay, now| relay.carried(now, piece));
+            }
+            _ => {}
+        }
+        if step == SuccessorStep::Take {
+            return known(shared, list.take()).map_err(refused);
+        }
+    }
+}
+
+/// Takes the list as the running process holds it. Nobody is asked for it again, nor for clients and groups.
+fn known(shared: &Rc<Shared>, list: Option<(Option<u64>, Vec<Value>)>) -> Result<(), String> {
+    let Some((revision, members)) = list else { return Ok(()) };
+    let entries = shared.target_group.borrow_mut().handed(revision, members)?;
+    shared.core(|relay, now| relay.list(now, ListKind::Full, entries));
+    shared.watch.notify_one();
+    Ok(())
+}
+
+fn restore(shared: &Rc<Shared>, records: Vec<Record>) {
+    shared.core(|relay, now| relay.restore(now, records.into_iter()));
+}
+
+/// Takes the relay over: when this returns, the running process has stopped accepting for good.
+pub async fn take(shared: &Rc<Shared>, old: &mut Predecessor) -> Result<(), Failed> {
+    old.link.send(&Message::Take, &[]).await.map_err(Failed::Broken)?;
+    loop {
+        let (message, step) = old.next().await?;
+        match message {
+            Message::Records(records) => restore(shared, records),
+            Message::Yield { descriptors, standby, cold_in } => {
+                shared.admission.set_others(descriptors as usize);
+                shared.core(|relay, now| {
+                    relay.carried(now, Carried::pause(cold_in));
+                    if let Some(span) = standby.filter(|span| *span >= 0.0) {
+                        relay.stand_by(now - span);
+                    }
+                });
+            }
+            _ => {}
+        }
+        match step {
+            SuccessorStep::Claim => {
+                old.link.send(&Message::Claim, &[]).await.map_err(Failed::Broken)?;
+            }
+            SuccessorStep::Serve => return Ok(()),
+            _ => {}
+        }
+    }
+}
+
+/// Hears what the old process still holds, until it has ended.
+pub async fn follow(shared: Rc<Shared>, mut old: Predecessor) {
+    info!("hand-over: this process serves");
+    shared.predecessor.set(true);
+    while let Ok((message, _)) = old.next().await {
+        match message {
+            Message::Held { descriptors } => shared.admission.set_others(descriptors as usize),
+            Message::Records(records) => restore(&shared, records),
+            _ => {}
+        }
+    }
+    info!("hand-over: the process before has ended");
+    shared.admission.set_others(0);
+    shared.predecessor.set(false);
+}
+
+// --- the old process ---
+
+/// Hands the relay to the next process that asks for it, for as long as the program runs.
+pub async fn offer(shared: Rc<Shared>, folder: PathBuf) {
+    let path = folder.join(NAME);
+    loop {
+        let listener = match bind(&path) {
+            Ok(listener) => listener,
+            Err(e) => {
+                // The relay serves all the same; a new version can only be had by a restart.
+                return error!("hand-over: {}: {e}; it is off", path.display());
+            }
+        };
+        let owner = std::fs::metadata(&path).map(|m| m.uid());
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(super::ACCEPT_PAUSE).await;
+                continue;
+            };
+            let known = stream.peer_cred().is_ok_and(|peer| owner.as_ref().is_ok_and(|o| peer.uid() == *o));
+            if !known {
+                warn!("hand-over: refused to another user's process");
+                continue;
+            }
+            let mut elder = Elder::default();
+            let ended = {
+                let mut hand = std::pin::pin!(hand(&shared, &mut elder, Link::new(stream)));
+                loop {
+                    tokio::select! {
+                        ended = &mut hand => break ended,
+                        Ok((other, _)) = listener.accept() => {
+                            tokio::task::spawn_local(turn_away(Link::new(other)));
+                        }
+                    }
+                }
+            };
+            if let Err(e) = ended {
+                warn!("hand-over: {e}");
+            }
+            if elder.takes_back(shared.terminated.get()) {
+                warn!("hand-over: it has failed, this process goes on");
+                shared.relay.borrow_mut().take_back();
+                shared.gate.send_replace(true);
+            }
+            if elder == Elder::HandedOver {
+                // The path was the other's.
+                break;
+            }
+        }
+        if shared.relay.borrow().is_handed_over() {
+            return ending(&shared).await;
+        }
+    }
+}
+
+/// Waits until nothing is left of a process that has no successor to tell of it any more.
+async fn ending(shared: &Rc<Shared>) {
+    while !is_over(shared) {
+        tokio::time::sleep(REPORT).await;
+    }
+    shared.over.notify_one();
+}
+
+fn is_over(shared: &Shared) -> bool {
+    shared.terminated.get() && shared.relay.borrow().is_empty() && shared.admission.is_empty()
+}
+
+fn bind(path: &Path) -> io::Result<UnixListener> {
+    match std::fs::symlink_metadata(path) {
+        Ok(old) if old.file_type().is_socket() => std::fs::remove_file(path)?,
+        Ok(_) => return Err(io::Error::other("is there, and no socket")),
+        Err(_) => {}
+    }
+    let listener = UnixListener::bind(path)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+    Ok(listener)
+}
+
+/// One hand-over; it returns when the new process is gone or is given up.
+async fn hand(shared: &Rc<Shared>, elder: &mut Elder, mut link: Link) -> io::Result<()> {
+    let name = shared.config.borrow().name.clone();
+    let mut told = 0;
+    loop {
+        let message = match elder.patience() {
+            Some(patience) => timeout(span(patience), link.next()).await??,
+            None => tokio::select! {
+                message = link.next() => message?,
+                () = tokio::time::sleep(REPORT) => {
+                    report(shared, &mut link, &mut told).await?;
+                    continue;
+                }
+            },
+        };
+        match elder.hears(&message, &name) {
+            ElderStep::Snapshot if shared.predecessor.get() => {
+                return refuse(&mut link, "the process before has not ended").await;
+            }
+            ElderStep::Snapshot => snapshot(shared, &mut link).await?,
+            ElderStep::Yield => {
+                info!("hand-over: a new process takes the relay");
+                shared.gate.send_replace(false);
+                changes(shared, &mut link).await?;
+                let (standby, cold_in) = {
+                    let (now, relay) = (shared.clock.now(), shared.relay.borrow());
+                    (relay.standby_for(now), relay.carry(now).first().map_or(0.0, |c| c.cold_in))
+                };
+                let descriptors = shared.admission.held() as u32;
+                link.send(&Message::Yield { descriptors, standby, cold_in }, &[]).await?;
+            }
+            ElderStep::HandOver => {
+                shared.core(|relay, now| relay.hand_over(now));
+                link.send(&Message::Yours, &[]).await?;
+                info!("hand-over: done; this process finishes what it has");
+            }
+            ElderStep::Refuse(why) => return refuse(&mut link, why).await,
+        }
+    }
+}
+
+/// Closed before it is read, what it says would be lost with the answer.
+async fn turn_away(mut link: Link) {
+    let _ = timeout(SEND, link.next()).await;
+    let _ = refuse(&mut link, "another process is taking over").await;
+}
+
+async fn refuse(link: &mut Link, why: &str) -> io::Result<()> {
+    link.send(&Message::Refused(why.into()), &[]).await?;
+    Err(io::Error::other(format!("refused: {why}")))
+}
+
+/// All that this process has, in pieces; it serves on meanwhile.
+async fn snapshot(shared: &Rc<Shared>, link: &mut Link) -> io::Result<()> {
+    let discovery = shared.config.borrow().discovery.to_string();
+    let (revision, members) = {
+        let list = shared.target_group.borrow();
+        let (revision, members) = list.held();
+        (revision, members.map(Value::to_string).collect::<Vec<_>>())
+    };
+    if shared.relay.borrow().is_listed() {
+        for members in members.chunks(MEMBERS) {
+            let (discovery, members) = (discovery.clone(), members.to_vec());
+            link.send(&Message::List { discovery, revision, members }, &[]).await?;
+        }
+    }
+    let carried = shared.relay.borrow().carry(shared.clock.now());
+    for piece in carried {
+        link.send(&Message::Carried(piece), &[]).await?;
+    }
+    shared.relay.borrow_mut().keep();
+    while let Some(records) = next_changes(shared) {
+        link.send(&Message::Records(records), &[]).await?;
+    }
+    let (keys, sockets): (Vec<_>, Vec<OwnedFd>) = {
+        let kept = shared.sockets.borrow();
+        let again = kept.iter().map(|(key, socket)| Ok((key.clone(), socket.try_clone()?)));
+        again.collect::<io::Result<Vec<_>>>()?.into_iter().unzip()
+    };
+    let sockets: Vec<_> = sockets.iter().map(AsFd::as_fd).collect();
+    link.send(&Message::Sockets(keys), &sockets).await?;
+    link.send(&Message::Whole, &[]).await
+}
+
+/// Clients and groups that have changed since the last call; nothing once that is all.
+fn next_changes(shared: &Shared) -> Option<Vec<Record>> {
+    let changes = shared.relay.borrow_mut().changes(shared.clock.now(), RECORDS);
+    Some(changes.set).filter(|set| !set.is_empty())
+}
+
+/// Where clients came to stand since. Groups are left out: told twice, their load would count twice.
+async fn changes(shared: &Rc<Shared>, link: &mut Link) -> io::Result<()> {
+    while let Some(mut records) = next_changes(shared) {
+        records.retain(|r| matches!(r, Record::Session { .. }));
+        if !records.is_empty() {
+            link.send(&Message::Records(records), &[]).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn report(shared: &Rc<Shared>, link: &mut Link, told: &mut usize) -> io::Result<()> {
+    changes(shared, link).await?;
+    let descriptors = shared.admission.held();
+    if std::mem::replace(told, descriptors) != descriptors {
+        link.send(&Message::Held { descriptors: descriptors as u32 }, &[]).await?;
+    }
+    if is_over(shared) {
+        info!("hand-over: nothing is left here, ending");
+        shared.over.notify_one();
+    }
+    Ok(())
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,16 +6,18 @@
 mod admission;
 mod discovery;
 mod flow;
+mod handover;
 mod ops;
 mod peers;
 mod pool;
 mod snmp;
 mod state;
 
-use std::cell::RefCell;
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -23,10 +25,10 @@
 use sandgw_affinity_store::writer::Writer;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
-use self::admission::{Admission, Seat};
+use self::admission::{Admission, HANDOVER, Seat};
 use crate::config::{Config, ConfigError};
 use crate::front::line::{LineFront, LineNames, LineRules};
 use crate::front::rtmp::RtmpFront;
@@ -80,7 +82,18 @@
     watch: Notify,
     /// Discovery is at another address.
     moved: Notify,
-    peers: Option<UdpSocket>,
+    peers: OnceCell<UdpSocket>,
+    admission: Rc<Admission>,
+    /// Open while this process takes what comes: clients and datagrams.
+    gate: watch::Sender<bool>,
+    /// The process before still finishes what it has.
+    predecessor: Cell<bool>,
+    /// SIGTERM has come.
+    terminated: Cell<bool>,
+    /// Nothing is left to do for a process that has handed over.
+    over: Notify,
+    /// What the next process is to have, by key and address.
+    sockets: RefCell<Vec<(String, OwnedFd)>>,
     /// Writes behind what is to last, where there is a folder for it.
     keeper: Option<Writer>,
     /// As read last, less what is taken at the next start only.
@@ -151,15 +164,30 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts for as long as the program runs.
+/// Waits until a gate is open, or shut.
+async fn until(gate: &mut watch::Receiver<bool>, open: bool) {
+    if gate.wait_for(|is| *is == open).await.is_err() {
+        // Nobody will ever move it again.
+        std::future::pending().await
+    }
+}
+
+/// Accepts whenever the gate is open, for as long as the program runs.
 async fn accept(
     admission: Rc<Admission>,
+    mut gate: watch::Receiver<bool>,
     listener: TcpListener,
     serve: impl Fn(tokio::net::TcpStream, SocketAddr, Seat),
 ) {
     let mut short: Option<Instant> = None;
     loop {
-        match listener.accept().await {
+        until(&mut gate, true).await;
+        let accepted = tokio::select! {
+            biased;
+            () = until(&mut gate, false) => continue,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((client, from)) => serve(client, from, admission.seat().await),
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(e) => {
@@ -176,9 +204,10 @@
 }
 
 /// Goes on serving after SIGTERM: the platform kills the program once every client has had its time, and
-/// whatever still stands then is worth more served than cut off.
-async fn terminated(mut signal: Signal) {
+/// whatever still stands then is worth more served than cut off. One that has handed over ends once it has nothing.
+async fn terminated(shared: Rc<Shared>, mut signal: Signal) {
     while signal.recv().await.is_some() {
+        shared.terminated.set(true);
         info!("SIGTERM: serving on until killed");
     }
 }
@@ -220,14 +249,19 @@
     shared.rules.renew(line_names(&shared.relay.borrow(), &shared.config.borrow()));
 }
 
-/// Runs a relay; returns only when it cannot start. `load` reads its configuration anew.
+/// Runs a relay; returns when it cannot start, or has handed over and has nothing left. `load` reads its
+/// configuration anew.
 pub fn run(config: Config, load: impl Fn() -> Result<Config, Vec<ConfigError>> + 'static) -> io::Result<()> {
+    // Before anything opens a descriptor, which could have the same number.
+    let passed = config.passed_socket.map(sandgw_passed_socket::take).transpose();
+    let passed = passed.map_err(|e| io::Error::new(e.kind(), format!("PROXY_PASSED_SOCKET: {e}")))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config, load))
+    LocalSet::new().block_on(&runtime, serve(config, passed, load))
 }
 
 async fn serve(
     mut config: Config,
+    passed: Option<std::net::TcpListener>,
     load: impl Fn() -> Result<Config, Vec<ConfigError>> + 'static,
 ) -> io::Result<()> {
     // Before anything listens: left to its default, either signal ends a program that others already use.
@@ -235,76 +269,174 @@
     // So does a file at its size limit, be it the store's or the log: it is to fail the write only.
     let _too_large = signal(SignalKind::from_raw(libc::SIGXFSZ))?;
     let named = |what: &'static str| move |e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
-    // All addresses are taken before anything is served: a relay that lacks one does not start.
-    let line = config.listen.map(listen).transpose().map_err(named("listen"))?;
-    let rtmp = config.rtmp.as_ref().map(|r| listen(r.listen)).transpose().map_err(named("rtmp.listen"))?;
-    let peers = match config.peer_listen {
-        Some(address) => {
-            let socket = UdpSocket::bind(address).await.map_err(named("peer_listen"))?;
-            // Until it has been waited for once, it is not known to take anything: the first would be lost.
-            socket.writable().await?;
-            Some(socket)
-        }
-        None => None,
-    };
-    let ops = config.ops.map(listen).transpose().map_err(named("ops"))?;
-    let agent = match &config.snmp {
-        Some(snmp) => Some(UdpSocket::bind(snmp.listen).await.map_err(named("snmp.listen"))?),
-        None => None,
-    };
     let clock = Clock::new();
     let kept =
         config.state.as_ref().map(|s| state::open(&s.folder)).transpose().map_err(named("state.folder"))?;
-    let admission = Admission::new(config.limits.sockets);
+    let own = if config.handover.is_some() { HANDOVER } else { 0 };
     let mut relay = Relay::new(config.settings.clone(), config.classes.clone(), config.seed, clock.now());
     let keeper = kept.map(|kept| state::restore(kept, &mut relay, clock.now())).transpose()?;
     let names = line_names(&relay, &config);
     let known = std::mem::take(&mut config.known);
+    let target_group = std::mem::take(&mut config.target_group);
     let shared = Rc::new(Shared {
         clock,
         relay: RefCell::new(relay),
         flows: RefCell::default(),
-        target_group: RefCell::new(std::mem::take(&mut config.target_group)),
+        target_group: RefCell::default(),
         pool: Rc::default(),
         watch: Notify::new(),
         moved: Notify::new(),
-        peers,
+        peers: OnceCell::new(),
+        admission: Admission::new(config.limits.sockets, own),
+        gate: watch::Sender::new(false),
+        predecessor: Cell::new(false),
+        terminated: Cell::new(false),
+        over: Notify::new(),
+        sockets: RefCell::default(),
         keeper,
         rules: Rc::new(LineRules::new(names)),
         config: RefCell::new(config),
     });
-    shared.core(|relay, now| relay.list(now, ListKind::Cached, known));
-    spawn_local(terminated(terminate));
+    spawn_local(terminated(shared.clone(), terminate));
     spawn_local(reload(shared.clone(), hangup, load));
-    spawn_local(tick(shared.clone()));
-    spawn_local(discovery::watch(shared.clone()));
-    spawn_local(peers::receive(shared.clone()));
-    spawn_local(state::keep(shared.clone()));
+    // Operators are answered from the first moment on, that it is not ready too.
+    let ops = shared.config.borrow().ops.map(listen).transpose().map_err(named("ops"))?;
     if let Some(listener) = ops {
         info!("operators call at {}", listener.local_addr()?);
         spawn_local(ops::answer(shared.clone(), listener));
     }
-    if let Some(socket) = agent {
+    let folder = shared.config.borrow().handover.clone();
+    let mut handed = Vec::new();
+    let mut old = match &folder {
+        Some(folder) => handover::ask(&shared, folder, &mut handed).await?,
+        None => None,
+    };
+    // All addresses are taken before anything is served: a relay that lacks one does not start.
+    let sockets = open(&shared, passed, handed)?;
+    if let Some(socket) = shared.peers.get() {
+        // Until it has been waited for once, it is not known to take anything: the first would be lost.
+        socket.writable().await?;
+    }
+    if !shared.relay.borrow().is_listed() {
+        *shared.target_group.borrow_mut() = target_group;
+        shared.core(|relay, now| relay.list(now, ListKind::Cached, known));
+    }
+    while let Some(mut before) = old.take() {
+        match handover::take(&shared, &mut before).await {
+            Ok(()) => drop(spawn_local(handover::follow(shared.clone(), before))),
+            Err(handover::Failed::Refused(e)) => return Err(e),
+            Err(handover::Failed::Broken(e)) => {
+                warn!("hand-over: the running process has broken off: {e}");
+                // Where nobody is there any more, all that there was is here already.
+                let folder = folder.as_deref().unwrap_or(std::path::Path::new(""));
+                old = handover::ask(&shared, folder, &mut Vec::new()).await?;
+            }
+        }
+    }
+    spawn_local(tick(shared.clone()));
+    spawn_local(discovery::watch(shared.clone()));
+    spawn_local(peers::receive(shared.clone()));
+    spawn_local(state::keep(shared.clone()));
+    if let Some(socket) = sockets.agent {
         spawn_local(snmp::answer(shared.clone(), socket));
     }
     let name = shared.config.borrow().name.clone();
-    if let Some(listener) = rtmp {
+    if let Some(listener) = sockets.rtmp {
         info!("{name} listens for RTMP on {}", listener.local_addr()?);
-        let shared = shared.clone();
-        spawn_local(accept(admission.clone(), listener, move |client, from, seat| {
-            // Read for each flow: all of it but the address may be new.
-            let Some(rtmp) = shared.config.borrow().rtmp.clone() else { return };
-            let front = RtmpFront::new(rtmp.settings, from, rtmp.trusted.contains(&from.ip()));
-            spawn_local(flow::serve(shared.clone(), client, front, seat));
-        }));
+        let of = shared.clone();
+        spawn_local(accept(
+            shared.admission.clone(),
+            shared.gate.subscribe(),
+            listener,
+            move |client, from, seat| {
+                // Read for each flow: all of it but the address may be new.
+                let Some(rtmp) = of.config.borrow().rtmp.clone() else { return };
+                let front = RtmpFront::new(rtmp.settings, from, rtmp.trusted.contains(&from.ip()));
+                spawn_local(flow::serve(of.clone(), client, front, seat));
+            },
+        ));
     }
-    if let Some(listener) = line {
+    if let Some(listener) = sockets.line {
         info!("{name} listens on {}", listener.local_addr()?);
-        accept(admission, listener, |client, _, seat| {
-            let front = LineFront::new(shared.rules.clone(), shared.config.borrow().limits.first_line);
-            spawn_local(flow::serve(shared.clone(), client, front, seat));
-        })
-        .await;
+        let of = shared.clone();
+        spawn_local(accept(
+            shared.admission.clone(),
+            shared.gate.subscribe(),
+            listener,
+            move |client, _, seat| {
+                let front = LineFront::new(of.rules.clone(), of.config.borrow().limits.first_line);
+                spawn_local(flow::serve(of.clone(), client, front, seat));
+            },
+        ));
+    }
+    shared.gate.send_replace(true);
+    if let Some(folder) = folder {
+        spawn_local(handover::offer(shared.clone(), folder));
+    }
+    shared.over.notified().await;
+    Ok(())
+}
+
+/// What clients, relays and managers reach this relay by.
+struct Sockets {
+    line: Option<TcpListener>,
+    rtmp: Option<TcpListener>,
+    agent: Option<UdpSocket>,
+}
+
+/// Opens all sockets but the operators': passed by the platform, handed over by the process before, or bound.
+fn open(
+    shared: &Rc<Shared>,
+    passed: Option<std::net::TcpListener>,
+    mut handed: handover::Handed,
+) -> io::Result<Sockets> {
+    let config = shared.config.borrow();
+    let mut had = |key: &str, address: SocketAddr| {
+        let key = format!("{key} {address}");
+        handed.iter().position(|(other, _)| *other == key).map(|i| handed.swap_remove(i).1)
+    };
+    // Kept for the next process, where there may be one.
+    let keep = |key: &str, address: SocketAddr, socket: std::os::fd::BorrowedFd<'_>| {
+        if config.handover.is_some() {
+            let kept = (format!("{key} {address}"), socket.try_clone_to_owned()?);
+            shared.sockets.borrow_mut().push(kept);
+        }
+        io::Result::Ok(())
+    };
+    let named = |key: &str, e: io::Error| io::Error::new(e.kind(), format!("{key}: {e}"));
+    let mut listener = |key: &str, address: SocketAddr| {
+        let listener = match had(key, address) {
+            Some(socket) => TcpListener::from_std(socket.into()),
+            None => listen(address),
+        };
+        let listener = listener.map_err(|e| named(key, e))?;
+        keep(key, address, listener.as_fd())?;
+        io::Result::Ok(listener)
+    };
+    let line = match (passed, config.listen) {
+        (Some(passed), listen) => {
+            let address = passed.local_addr()?;
+            if listen.is_some_and(|listen| listen != address) {
+                warn!("PROXY_PASSED_SOCKET listens on {address}, which the configuration does not name");
+            }
+            Some(TcpListener::from_std(passed)?)
+        }
+        (None, Some(address)) => Some(listener("listen", address)?),
+        (None, None) => None,
+    };
+    let rtmp = config.rtmp.as_ref().map(|r| listener("rtmp.listen", r.listen)).transpose()?;
+    let mut datagrams = |key: &str, address: SocketAddr| {
+        let socket = match had(key, address) {
+            Some(socket) => socket.into(),
+            None => std::net::UdpSocket::bind(address).map_err(|e| named(key, e))?,
+        };
+        socket.set_nonblocking(true)?;
+        keep(key, address, socket.as_fd())?;
+        UdpSocket::from_std(socket)
+    };
+    let agent = config.snmp.as_ref().map(|s| datagrams("snmp.listen", s.listen)).transpose()?;
+    if let Some(address) = config.peer_listen {
+        let _ = shared.peers.set(datagrams("peer_listen", address)?);
     }
-    std::future::pending().await
+    Ok(Sockets { line, rtmp, agent })
 }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -130,8 +130,12 @@
 }
 
 fn carry_out(shared: &Rc<Shared>, call: Call) -> Result<String, Refusal> {
+    if shared.relay.borrow().is_handed_over() {
+        return Err(Refusal::HandedOver);
+    }
+    let ready = || *shared.gate.borrow() && shared.relay.borrow().is_listed();
     match call {
-        Call::Status if !shared.relay.borrow().is_listed() => return Err(Refusal::NotReady),
+        Call::Status if !ready() => return Err(Refusal::NotReady),
         Call::Status => {}
         Call::Standby => {
             warn!("operators: standby");
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -4,14 +4,14 @@
 
 use log::warn;
 
-use super::Shared;
+use super::{Shared, until};
 use crate::interface::Message;
 use crate::peers;
 
 impl Shared {
     /// Sends a message; one that cannot go now is lost, as any datagram may be.
     pub(super) fn tell(&self, peer: u32, message: &Message) {
-        let Some(socket) = &self.peers else { return };
+        let Some(socket) = self.peers.get() else { return };
         if let Some(address) = self.config.borrow().peers.get(peer as usize)
             && let Err(e) = socket.try_send_to(&peers::encode(message), *address)
         {
@@ -22,10 +22,18 @@
 
 /// Receives what other relays tell. A bad datagram, or one from elsewhere, is ignored.
 pub async fn receive(shared: Rc<Shared>) {
-    let Some(socket) = &shared.peers else { return };
+    let Some(socket) = shared.peers.get() else { return };
+    let mut gate = shared.gate.subscribe();
     let mut buffer = [0; peers::BUFFER];
     loop {
-        match socket.recv_from(&mut buffer).await {
+        // What comes while another process serves is for that one.
+        until(&mut gate, true).await;
+        let received = tokio::select! {
+            biased;
+            () = until(&mut gate, false) => continue,
+            received = socket.recv_from(&mut buffer) => received,
+        };
+        match received {
             Ok((length, from)) => {
                 let peer = shared.config.borrow().peers.iter().position(|a| *a == from);
                 if let Some((peer, message)) = peer.zip(peers::decode(&buffer[..length])) {
--- a/src/net/snmp.rs
+++ b/src/net/snmp.rs
@@ -5,7 +5,7 @@
 use log::debug;
 use tokio::net::UdpSocket;
 
-use super::Shared;
+use super::{Shared, until};
 use crate::snmp;
 
 /// Longest question; a manager's are far shorter.
@@ -14,8 +14,15 @@
 /// Answers for as long as the program runs.
 pub async fn answer(shared: Rc<Shared>, socket: UdpSocket) {
     let mut buffer = vec![0; QUESTION];
+    let mut gate = shared.gate.subscribe();
     loop {
-        match socket.recv_from(&mut buffer).await {
+        until(&mut gate, true).await;
+        let received = tokio::select! {
+            biased;
+            () = until(&mut gate, false) => continue,
+            received = socket.recv_from(&mut buffer) => received,
+        };
+        match received {
             Ok((length, from)) => {
                 let written = shared.keeper.as_ref().map(|k| k.written()).unwrap_or_default();
                 let view = snmp::view(&shared.relay.borrow(), written);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,6 +10,7 @@
 use sandgw_affinity::{Changes, Figures, Record, Restored};
 
 use crate::Balancer;
+use crate::carry::Carried;
 use crate::classes::Classes;
 use crate::interface::*;
 use crate::operations::{MOVE_STEP, Operation, moves_now};
@@ -177,6 +178,8 @@
     passes: bool,
     /// Since when it is on standby.
     standby: Option<Millis>,
+    /// Since when another process takes and places what comes new.
+    handed_over: Option<Millis>,
     /// The timer of the steps in which a relay on standby empties is under way.
     emptying: bool,
     /// It has been given a list of streamers.
@@ -204,6 +207,7 @@
             balancer: Balancer::new(settings, seed, now),
             classes,
             standby: None,
+            handed_over: None,
             emptying: false,
             listed: false,
             flows: HashMap::new(),
@@ -442,11 +446,52 @@
     /// Wants nobody new from now on, and tells those to move that can't stay; a second call changes nothing.
     pub fn stand_by(&mut self, now: Millis) {
         self.standby.get_or_insert(now);
+        self.start_emptying();
+    }
+
+    fn start_emptying(&mut self) {
         if !std::mem::replace(&mut self.emptying, true) {
             self.commands.push(Command::Timer { after: MOVE_STEP, token: EMPTY });
         }
     }
 
+    /// How long it has been on standby, if it is.
+    pub fn standby_for(&self, now: Millis) -> Option<Millis> {
+        self.standby.map(|since| now - since)
+    }
+
+    /// Another process serves in this one's place from now on: flows that would be lost with this one are moved as
+    /// on standby, though the relay goes on taking whoever comes.
+    pub fn hand_over(&mut self, now: Millis) {
+        self.handed_over = Some(now);
+        self.start_emptying();
+    }
+
+    /// The other process has failed, and this one serves again.
+    pub fn take_back(&mut self) {
+        self.handed_over = None;
+    }
+
+    /// Whether another process serves in this one's place.
+    pub fn is_handed_over(&self) -> bool {
+        self.handed_over.is_some()
+    }
+
+    /// Whether there is no flow left.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// What the module has learned, for the process that is to serve next.
+    pub fn carry(&self, now: Millis) -> Vec<Carried> {
+        self.balancer.carry(now)
+    }
+
+    /// Takes what the process before has learned, after its list.
+    pub fn carried(&mut self, now: Millis, piece: Carried) {
+        self.balancer.carried(now, piece);
+    }
+
     /// Takes whoever comes again. Who was told to move goes all the same, nobody else is told.
     pub fn activate(&mut self) {
         self.standby = None;
@@ -454,7 +499,7 @@
 
     /// One step of emptying. Those who come to stand between two steps are told with the next.
     fn empty(&mut self, now: Millis) {
-        let Some(since) = self.standby else {
+        let Some(since) = self.standby.or(self.handed_over) else {
             self.emptying = false;
             return;
         };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,7 +65,7 @@
 /// The decisions of one balancer.
 #[derive(Default)]
 pub struct Balancer {
-    settings: Settings,
+    pub(crate) settings: Settings,
     seed: u64,
     pub(crate) ledger: Ledger,
     /// Servers in the table, sorted by id, the table (positions in `ring`), and the sum of weights.
@@ -77,13 +77,13 @@
     /// What all servers of the table could do then, by weight and warmth.
     power: f64,
     /// It follows caps and warmth, but not with every request of a burst.
-    planned_at: Millis,
+    pub(crate) planned_at: Millis,
     /// Own arrivals, a sample of the fleet's, and what balancers add up of theirs.
-    sample: Sample,
+    pub(crate) sample: Sample,
     pub(crate) pool: Pool,
     mean: Mean,
     /// Messages are told to be slow where they are: caps follow that better than weights can tell.
-    hears: bool,
+    pub(crate) hears: bool,
     /// Where clients and groups are held: for those that arrive mid-flow, and for a plan after a restart.
     pub(crate) memory: Memory,
     failed_asks: u32,
@@ -95,7 +95,7 @@
     /// The steps in which clients of leaving servers are told are under way: one row of them for all.
     leaving: bool,
     /// Own budget of cold servers: no new connection to any before.
-    next_cold: Millis,
+    pub(crate) next_cold: Millis,
     /// How many set-ups may be out at once; cut while a fault is common, and when it last was.
     window: f64,
     cut_at: Millis,
--- a/src/target_group.rs
+++ b/src/target_group.rs
@@ -35,6 +35,8 @@
     /// A call is out that has not been answered, for what is newer than this or for all of the list.
     asked: Option<Option<u64>>,
     addresses: BTreeMap<ServerId, SocketAddr>,
+    /// The entries as they came, for the process that is to serve next.
+    members: BTreeMap<ServerId, Value>,
 }
 
 impl TargetGroup {
@@ -50,6 +52,19 @@
         Ok((group, entries))
     }
 
+    /// Takes the list as the process before held it; with its version where the same service is asked.
+    pub fn handed(&mut self, revision: Option<u64>, members: Vec<Value>) -> Result<Vec<ServerEntry>, String> {
+        let list = serde_json::json!({"revision": 0, "complete": true, "members": members});
+        let (_, entries) = self.read(&list)?;
+        self.revision = revision;
+        Ok(entries)
+    }
+
+    /// The list's version, where it is known to be this discovery service's, and its entries.
+    pub fn held(&self) -> (Option<u64>, impl Iterator<Item = &Value>) {
+        (self.revision, self.members.values())
+    }
+
     /// Another service is asked from now on: versions are each service's own.
     pub fn moved(&mut self) {
         self.revision = None;
@@ -100,8 +115,13 @@
         let mut entries = Vec::with_capacity(read.len());
         if complete {
             self.addresses.clear();
+            self.members.clear();
         }
-        for (entry, address) in read {
+        for ((entry, address), value) in read.into_iter().zip(members) {
+            match entry.state {
+                ServerState::Gone => drop(self.members.remove(&entry.id)),
+                _ => drop(self.members.insert(entry.id.clone(), value.clone())),
+            }
             match address.filter(|_| entry.state != ServerState::Gone) {
                 Some(address) => drop(self.addresses.insert(entry.id.clone(), address)),
                 None => drop(self.addresses.remove(&entry.id)),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -188,6 +188,16 @@
     )
 }
 
+/// The program on the files in a folder, held to limits that the shell sets.
+pub fn command(folder: &std::path::Path, limits: &str) -> Command {
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("{limits}; exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_sandgw")]);
+    let log = std::fs::File::create(folder.join("log")).unwrap();
+    command.arg("run").arg(folder.join("app.toml")).env("PROXY_CONFIG", folder.join("config.json"));
+    command.stderr(Stdio::from(log));
+    command
+}
+
 impl Relay {
     /// Starts a relay that knows what discovery has now, with both fronts and the SNMP agent.
     pub fn start(discovery: &Discovery) -> Relay {
@@ -226,15 +236,11 @@
             "[rtmp]\nlisten = \"{rtmp}\"\nclass = \"subtitle-stream\"\ntrusted = [\"127.0.0.1\"]\n\
              [snmp]\nlisten = \"{snmp}\"\ncommunity = \"hall\"\n{more}"
         );
-        let [config, app] = ["config.json", "app.toml"].map(|name| folder.path().join(name));
-        std::fs::write(&app, file).unwrap();
-        let mut command = Command::new("sh");
-        command.args(["-c", &format!("{limits}; exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_sandgw")]);
-        std::fs::write(&config, platform(&line, &peers, me, discovery, sockets)).unwrap();
-        let log = std::fs::File::create(folder.path().join("log")).unwrap();
-        command.arg("run").arg(app).env("PROXY_CONFIG", config).env("PROXY_DISCOVERY", &discovery.address);
-        let child = command.stderr(Stdio::from(log)).spawn();
-        let relay = Relay { child: child.unwrap(), line, rtmp, snmp, ops, folder };
+        std::fs::write(folder.path().join("app.toml"), file).unwrap();
+        let text = platform(&line, &peers, me, discovery, sockets);
+        std::fs::write(folder.path().join("config.json"), text).unwrap();
+        let child = command(folder.path(), limits).spawn().unwrap();
+        let relay = Relay { child, line, rtmp, snmp, ops, folder };
         let start = Instant::now();
         while TcpStream::connect(&relay.line).is_err() {
             assert!(start.elapsed() < LONG, "the relay does not start");
@@ -250,6 +256,35 @@
         Client(BufReader::new(caller)).line()
     }
 
+    /// The program once more with all the same but the operators' address, without waiting for anything.
+    pub fn beside(&self) -> Relay {
+        static NEXT: AtomicU32 = AtomicU32::new(9000);
+        let folder = tempfile::tempdir().unwrap();
+        let host = self.ops.split(':').next().unwrap();
+        let ops = format!("{host}:{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        std::fs::write(folder.path().join("config.json"), self.configuration().replace(&self.ops, &ops))
+            .unwrap();
+        std::fs::copy(self.folder.path().join("app.toml"), folder.path().join("app.toml")).unwrap();
+        let child = command(folder.path(), "true").spawn().unwrap();
+        let (line, rtmp, snmp) = (self.line.clone(), self.rtmp.clone(), self.snmp.clone());
+        Relay { child, line, rtmp, snmp, ops, folder }
+    }
+
+    /// What operators are answered, or nothing where nobody is there yet.
+    pub fn status(&self) -> String {
+        let Ok(mut caller) = TcpStream::connect(&self.ops) else { return String::new() };
+        caller.set_read_timeout(Some(LONG)).unwrap();
+        caller.write_all(b"status\n").unwrap();
+        Client(BufReader::new(caller)).line()
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&self) -> bool {
+        // Nobody has waited for it yet: its state is Z.
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        stat.rsplit(')').next().unwrap().trim_start().starts_with('Z')
+    }
+
     pub fn client(&self) -> Client {
         Client(BufReader::new(connect(&self.line)))
     }
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,376 @@
+//! The hand-over to a new process through the real program.
+
+mod common;
+
+use std::io::{BufReader, Read, Write};
+use std::net::TcpListener;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use command_fds::{CommandFdExt, FdMapping};
+use common::*;
+use sandgw::handover::{FORM, Frames, Message, encode};
+
+struct Fleet {
+    _streamer: Streamer,
+    _discovery: Discovery,
+    folder: tempfile::TempDir,
+    relay: Relay,
+}
+
+impl Fleet {
+    /// A relay that may be handed over.
+    fn start() -> Fleet {
+        let (streamer, discovery) = (Streamer::lines("UP 1\r\n"), Discovery::start());
+        discovery.set("s-1", &streamer.address, "Ready", 0);
+        let folder = tempfile::tempdir().unwrap();
+        let more = format!("[relay]\nhandover = {:?}\n", folder.path());
+        let relay = Relay::start_more(&discovery, 1024, &[host()], 0, &more);
+        let fleet = Fleet { _streamer: streamer, _discovery: discovery, folder, relay };
+        until("it can be found", || fleet.path().exists());
+        fleet
+    }
+
+    fn path(&self) -> PathBuf {
+        self.folder.path().join("sandgw-handover")
+    }
+
+    /// A process that asks for the relay, with a life of its own.
+    fn successor(&self, name: &str) -> Asker {
+        let mut asker =
+            Asker { stream: UnixStream::connect(self.path()).unwrap(), frames: Frames::default() };
+        asker.stream.set_read_timeout(Some(LONG)).unwrap();
+        asker.say(&Message::Hello { form: FORM, name: name.into() });
+        asker
+    }
+
+    /// One that has all. It is refused for as long as the one before is not known to have gone.
+    fn whole(&self) -> Asker {
+        let start = Instant::now();
+        loop {
+            let mut asker = self.successor("n0");
+            let heard = asker.hear_until(|m| matches!(m, Message::Whole | Message::Refused(_)));
+            if heard.last() == Some(&Message::Whole) {
+                return asker;
+            }
+            assert!(start.elapsed() < LONG, "{heard:?}");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn serves(&self) -> bool {
+        let mut client = self.relay.client();
+        client.0.get_ref().set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        client.open("").line() == "UP 1"
+    }
+}
+
+struct Asker {
+    stream: UnixStream,
+    frames: Frames,
+}
+
+impl Asker {
+    fn say(&mut self, message: &Message) {
+        self.stream.write_all(&encode(message)).unwrap();
+    }
+
+    fn hear(&mut self) -> Option<Message> {
+        loop {
+            if let Some(message) = self.frames.message().unwrap() {
+                return Some(message);
+            }
+            let mut bytes = [0; 4096];
+            let n = self.stream.read(&mut bytes).unwrap_or(0);
+            if n == 0 {
+                return None;
+            }
+            self.frames.feed(&bytes[..n]);
+        }
+    }
+
+    fn hear_until(&mut self, last: fn(&Message) -> bool) -> Vec<Message> {
+        let mut heard = Vec::new();
+        while !heard.last().is_some_and(last) {
+            heard.push(self.hear().expect("the link breaks"));
+        }
+        heard
+    }
+}
+
+fn stand(relay: &Relay) -> Client {
+    let mut client = relay.client();
+    assert_eq!(client.open("").line(), "UP 1");
+    client
+}
+
+/// Clients come all the time: each is answered, by one process or the other, and who stands goes on.
+#[test]
+fn a_new_process_takes_the_relay_under_load() {
+    let fleet = Fleet::start();
+    let mut held: Vec<_> = (0..20).map(|_| stand(&fleet.relay)).collect();
+    let done = AtomicBool::new(false);
+    let new = thread::scope(|scope| {
+        let load = (0..4).map(|_| {
+            scope.spawn(|| {
+                let mut answers = Vec::new();
+                while !done.load(Ordering::Relaxed) {
+                    answers.push(fleet.relay.client().open("").line());
+                }
+                answers
+            })
+        });
+        let load: Vec<_> = load.collect();
+        let new = fleet.relay.beside();
+        until("the new process serves", || new.status().starts_with("done active"));
+        fleet.relay.terminate();
+        thread::sleep(Duration::from_millis(300));
+        done.store(true, Ordering::Relaxed);
+        let answers: Vec<_> = load.into_iter().flat_map(|l| l.join().unwrap()).collect();
+        let wrong: Vec<_> = answers.iter().filter(|a| *a != "UP 1").collect();
+        assert!(wrong.is_empty() && answers.len() > 50, "{wrong:?} of {}", answers.len());
+        new
+    });
+    assert_eq!(fleet.relay.status(), "error handed over: a new process serves in this one's place");
+    for client in &mut held {
+        assert_eq!(client.send("still\r\n").line(), "still");
+    }
+    // Its RTMP listener and its agent's socket are the new one's too: the old one ends once it has nothing.
+    drop(held);
+    until("the old process ends", || fleet.relay.has_ended());
+    drop(connect(&new.rtmp));
+    assert!(stand(&new).send("on\r\n").line() == "on" && new.status().starts_with("done active"));
+    // And so on: the next version finds this one.
+    until("it says so", || new.log().contains("the process before has ended"));
+    let third = new.beside();
+    until("the third serves", || third.status().starts_with("done active"));
+    assert!(stand(&third).send("on\r\n").line() == "on");
+}
+
+/// What was known of clients comes along: a connection that arrives mid-flow finds its streamer.
+#[test]
+fn clients_places_and_standby_are_handed_over() {
+    let streamers = ["UP 0\r\n", "UP 1\r\n", "UP 2\r\n", "UP 3\r\n"].map(Streamer::lines);
+    let discovery = Discovery::start();
+    for (i, s) in streamers.iter().enumerate() {
+        discovery.set(&format!("s-{i}"), &s.address, "Ready", 0);
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let more = format!("[relay]\nhandover = {:?}\n", folder.path());
+    let old = Relay::start_more(&discovery, 1024, &[host()], 0, &more);
+    let ask = |relay: &Relay, key: usize, more: &str| {
+        let mut client = relay.client();
+        let id = more.len();
+        let up = client.send(&format!("OPEN {id}x{key} {key} c=subtitle-stream,t=acme,d=2000,g=1{more}\r\n"));
+        (up.line(), client)
+    };
+    let before: Vec<_> = (0..40).map(|key| ask(&old, key, ",again=1")).collect();
+    let at: Vec<_> = before.iter().map(|(up, _)| up.clone()).collect();
+    assert!(at.iter().any(|up| *up != at[0]), "all are at one streamer: {at:?}");
+    until("it can be found", || folder.path().join("sandgw-handover").exists());
+    old.call(b"standby\n");
+    let new = old.beside();
+    until("the new process serves", || new.status().starts_with("done standby"));
+    assert_eq!(new.client().send("PING\r\n").line(), "STANDBY");
+    assert_eq!(new.call(b"active\n"), "done active, 0 standing");
+    drop(before);
+    let again: Vec<_> = (0..40).map(|key| ask(&new, key, ",mid=1").0).collect();
+    assert_eq!(again, at);
+}
+
+/// Each step is cut once: the running process goes on, and can be handed over after that.
+#[test]
+fn whoever_fails_on_the_way_leaves_the_running_process_serving() {
+    let fleet = Fleet::start();
+    let mut held = stand(&fleet.relay);
+    assert_eq!(std::fs::metadata(fleet.path()).unwrap().permissions().mode() & 0o777, 0o600);
+    // Nothing is said, or nonsense.
+    drop(UnixStream::connect(fleet.path()).unwrap());
+    UnixStream::connect(fleet.path()).unwrap().write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    assert!(fleet.serves());
+    // Another relay, and one of another form.
+    let refused = |m: Option<Message>| matches!(m, Some(Message::Refused(_)));
+    assert!(refused(fleet.successor("n7").hear()));
+    let mut other = Asker { stream: UnixStream::connect(fleet.path()).unwrap(), frames: Frames::default() };
+    other.say(&Message::Hello { form: FORM + 1, name: "n0".into() });
+    assert!(refused(other.hear()));
+    // Gone while it is told.
+    drop(fleet.successor("n0"));
+    assert!(fleet.serves());
+    // Gone when it has all; the relay has never stopped.
+    let asker = fleet.whole();
+    assert!(fleet.serves());
+    // Another one meanwhile is told so, and a real process says why it does not start.
+    assert!(refused(fleet.successor("n0").hear()));
+    let second = fleet.relay.beside();
+    until("the second gives up", || second.has_ended());
+    assert!(second.log().contains("another process is taking over"), "{}", second.log());
+    drop(asker);
+    // Gone, or stalled, when it has asked for the relay and not claimed it: taken back.
+    for stalls in [false, true] {
+        let mut asker = fleet.whole();
+        asker.say(&Message::Take);
+        asker.hear_until(|m| matches!(m, Message::Yield { .. }));
+        assert!(!fleet.serves(), "it has yielded");
+        if !stalls {
+            drop(asker);
+            until("it serves again", || fleet.serves());
+            continue;
+        }
+        until("it serves again", || fleet.serves());
+        // The claim comes too late: it is never granted.
+        let _ = asker.stream.write_all(&encode(&Message::Claim));
+        assert_eq!(asker.hear(), None);
+    }
+    // Killed once the relay was its own, and the running process not told to end: taken back.
+    let mut asker = fleet.whole();
+    asker.say(&Message::Take);
+    asker.hear_until(|m| matches!(m, Message::Yield { .. }));
+    asker.say(&Message::Claim);
+    asker.hear_until(|m| *m == Message::Yours);
+    assert!(!fleet.serves() && fleet.relay.status().starts_with("error handed over"));
+    drop(asker);
+    until("it serves again", || fleet.serves());
+    assert!(fleet.relay.status().starts_with("done active"));
+    // None of it touched who stood, and a real successor still can.
+    assert_eq!(held.send("still\r\n").line(), "still");
+    let new = fleet.relay.beside();
+    until("the new process serves", || new.status().starts_with("done active"));
+    assert!(fleet.serves());
+}
+
+/// SIGTERM while nobody has taken over yet: the present ways stay, and a new process may still come.
+#[test]
+fn told_to_end_first_it_serves_on_and_hands_over_later() {
+    let fleet = Fleet::start();
+    let mut asker = fleet.whole();
+    fleet.relay.terminate();
+    until("it is heard", || fleet.relay.log().contains("SIGTERM"));
+    asker.say(&Message::Take);
+    asker.hear_until(|m| matches!(m, Message::Yield { .. }));
+    drop(asker);
+    until("it serves again", || fleet.serves());
+    let new = fleet.relay.beside();
+    until("the new process serves", || new.status().starts_with("done active"));
+    until("the old process ends", || fleet.relay.has_ended());
+    assert!(fleet.serves());
+}
+
+/// What may stand in the folder instead of a running process.
+#[test]
+fn a_stale_or_strange_socket_is_no_trap() {
+    let fleet = Fleet::start();
+    let path = fleet.path();
+    // Killed outright: its socket stays, and nobody answers.
+    fleet.relay.signal("KILL");
+    until("it is gone", || fleet.relay.has_ended());
+    assert!(path.exists());
+    let next = fleet.relay.beside();
+    until("it starts as ever", || next.status().starts_with("done active"));
+    next.signal("KILL");
+    until("it is gone", || next.has_ended());
+    // Somebody who does not answer, and somebody who always breaks off: a reason, and no relay.
+    std::fs::remove_file(&path).unwrap();
+    let silent = UnixListener::bind(&path).unwrap();
+    let new = fleet.relay.beside();
+    until("it is not ready", || new.status().starts_with("error not ready"));
+    until("it gives up", || new.has_ended());
+    assert!(new.log().contains("does not answer"), "{}", new.log());
+    drop(silent);
+    std::fs::remove_file(&path).unwrap();
+    let breaks = UnixListener::bind(&path).unwrap();
+    let closer = thread::spawn(move || breaks.incoming().take(3).for_each(drop));
+    let new = fleet.relay.beside();
+    until("it gives up", || new.has_ended());
+    closer.join().unwrap();
+    assert!(new.log().contains("breaks off"), "{}", new.log());
+    // No socket at all: it is left alone, and the relay serves.
+    std::fs::remove_file(&path).unwrap();
+    std::fs::write(&path, "mine").unwrap();
+    let new = fleet.relay.beside();
+    until("it starts", || new.status().starts_with("done active"));
+    until("it says so", || new.log().contains("no socket"));
+    assert_eq!(std::fs::read_to_string(&path).unwrap(), "mine");
+}
+
+/// The platform holds the clients' socket: who connects before anybody listens is served, and none of the two binds.
+#[test]
+fn a_passed_socket_is_shared_by_both_processes() {
+    let (streamer, discovery) = (Streamer::lines("UP 1\r\n"), Discovery::start());
+    discovery.set("s-1", &streamer.address, "Ready", 0);
+    let folder = tempfile::tempdir().unwrap();
+    let listener = TcpListener::bind((host(), 8443)).unwrap();
+    let line = listener.local_addr().unwrap().to_string();
+    let start = |ops: &str, passed: &TcpListener, number: &str| {
+        let own = tempfile::tempdir().unwrap();
+        let text = format!(
+            r#"{{"name":"n0","listen":"{line}","ops":"{ops}","discovery":"{}","known":{},"settings":{SETTINGS}}}"#,
+            discovery.address,
+            discovery.json(0)
+        );
+        std::fs::write(own.path().join("config.json"), text).unwrap();
+        std::fs::write(own.path().join("app.toml"), "").unwrap();
+        let mut command = command(own.path(), "true");
+        command.env("PROXY_PASSED_SOCKET", number).env("TMPDIR", folder.path());
+        let parent_fd = passed.try_clone().unwrap().into();
+        command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 7 }]).unwrap();
+        (command.spawn().unwrap(), own)
+    };
+    let open = || {
+        let mut client = Client(BufReader::new(connect(&line)));
+        client.open("");
+        client
+    };
+    let mut early = open();
+    let ops = [host(), host()].map(|host| format!("{host}:8444"));
+    let (mut old, _own) = start(&ops[0], &listener, "7");
+    assert_eq!(early.line(), "UP 1");
+    until("it can be found", || folder.path().join("sandgw-handover").exists());
+    let (mut new, own) = start(&ops[1], &listener, "7");
+    let log = || std::fs::read_to_string(own.path().join("log")).unwrap();
+    until("it serves", || log().contains("this process serves"));
+    assert_eq!(open().line(), "UP 1");
+    assert_eq!(early.send("still\r\n").line(), "still");
+    // What is no such socket is said, and nothing else is served in its stead.
+    for (number, why) in [("9", "descriptor 9"), ("seven", "PROXY_PASSED_SOCKET"), ("0", "standard stream")] {
+        let (mut child, own) = start(&ops[0], &listener, number);
+        assert!(!child.wait().unwrap().success());
+        let log = std::fs::read_to_string(own.path().join("log")).unwrap();
+        assert!(log.contains(why), "{log}");
+    }
+    for child in [&mut old, &mut new] {
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+}
+
+/// Descriptors count for both together: what the old process holds the new one does not give out.
+#[test]
+fn both_processes_share_one_limit_of_descriptors() {
+    let (streamer, discovery) = (Streamer::lines("UP 1\r\n"), Discovery::start());
+    discovery.set("s-1", &streamer.address, "Ready", 0);
+    let folder = tempfile::tempdir().unwrap();
+    let more = format!("[relay]\nhandover = {:?}\n", folder.path());
+    let old = Relay::start_more(&discovery, 200, &[host()], 0, &more);
+    until("it can be found", || folder.path().join("sandgw-handover").exists());
+    let held: Vec<_> = (0..50).map(|_| stand(&old)).collect();
+    let new = old.beside();
+    until("the new process serves", || new.status().starts_with("done active"));
+    let start = Instant::now();
+    let placed = |relay: &Relay| {
+        let mut clients: Vec<_> = (0..60).map(|_| relay.client()).collect();
+        let answers: Vec<_> = clients.iter_mut().map(|c| c.open("").line()).collect();
+        answers.iter().filter(|a| *a == "UP 1").count()
+    };
+    let beside = placed(&new);
+    assert!((1..20).contains(&beside), "{beside} placed beside 50 of the old process");
+    drop(held);
+    old.terminate();
+    until("the old process ends", || old.has_ended());
+    until("there is room again", || placed(&new) >= 50);
+    assert!(start.elapsed() < LONG);
+}
