--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -113,9 +113,11 @@
             return self.close().await;
         }
         let deadline = arrival.deadline;
+        let (mid_flow, returned) = (arrival.mid_flow, arrival.returned);
         let (sender, mut commands) = unbounded_channel();
         let id = self.shared.relay.borrow_mut().arrive(self.shared.clock.now(), arrival);
         self.shared.flows.borrow_mut().insert(id, sender);
+        debug!("flow {} arrives, mid-flow {mid_flow}, returned {returned}", id.0);
         let _registered = Registered { shared: self.shared.clone(), id };
         self.shared.settle();
         match self.place(id, deadline, &mut commands).await? {
@@ -176,6 +178,7 @@
             };
             match outcome {
                 Ok((streamer, first)) => {
+                    debug!("flow {}: stands at {} after {:.0} ms", id.0, target.0, shared.clock.now() - sent);
                     shared.core(|relay, now| relay.established(now, id, now - sent));
                     return Ok(Placed::Up(streamer, first));
                 }
