Pass standing flows to the new process unbroken once the old one is told to end

Ruled out: lost places of clients, since none arrives mid-flow; the hand-over itself, which takes 1 ms. Change: the old process passes 64 standing flows at a time, with both descriptors, the bytes on their way and the line under way; RTMP flows are told to reconnect.

--- a/benches/spread.rs
+++ b/benches/spread.rs
@@ -211,7 +211,7 @@
                     self.refused += 1;
                     self.held.retain(|_, h| !(h.relay == at && h.flow == flow));
                 }
-                Command::Flow(_, FlowCommand::Move) | Command::Watch => {}
+                Command::Flow(_, FlowCommand::Move | FlowCommand::Pass) | Command::Watch => {}
                 Command::Timer { after, token } => self.after(after, Due::Timer(at, token, self.lives[at])),
                 Command::Tell { peer, message } => {
                     let delay = self.other.random_range(1.6..32.0);
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -40,6 +40,20 @@
     setup: (Millis, Millis),
 }
 
+/// A standing flow.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CarriedFlow {
+    /// Its class, by name.
+    pub class: String,
+    /// Its streamer.
+    pub target: String,
+    pub(crate) client: Option<String>,
+    pub(crate) group: Option<String>,
+    pub(crate) load: Option<f64>,
+    pub(crate) sent_away: bool,
+    pub(crate) led_elsewhere: bool,
+}
+
 impl Carried {
     /// Nothing but how long from now no new connection may go to a cold streamer.
     pub fn pause(cold_in: Millis) -> Self {
--- a/src/classes.rs
+++ b/src/classes.rs
@@ -79,6 +79,11 @@
         found.map(|(i, _)| ClassId(*i))
     }
 
+    /// The name of a class.
+    pub fn name(&self, class: ClassId) -> Option<&str> {
+        self.places.get(class.0)?.as_ref().map(|p| p.name.as_str())
+    }
+
     /// The classes for the module, by position. A free place holds one that nobody can name.
     pub fn by_position(&self) -> Vec<Class> {
         let free = Class { repeat: Repeat::Unsafe, aim: f64::INFINITY, message_aim: None, worth: 0.0 };
--- a/src/front/line.rs
+++ b/src/front/line.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Buf, BytesMut};
 
-use super::{Answer, Arrive, Front};
+use super::{Answer, Arrive, CarriedFront, Front};
 use crate::interface::*;
 use crate::operations::Operation;
 use crate::relay::{Arrival, FixedResponse};
@@ -100,6 +100,20 @@
         }
     }
 
+    /// Goes on with a flow that stood at the process before.
+    pub fn adopt(rules: Rc<LineRules>, now: Millis, carried: CarriedFront) -> Self {
+        rules.open.borrow_mut().insert(carried.id.clone(), carried.key);
+        let outcome = |served| if served { Outcome::Ok } else { Outcome::Cancelled };
+        let mut front = LineFront::new(rules, 0.0);
+        front.id = Some(carried.id);
+        front.word = carried.word;
+        front.word.truncate(WORD);
+        front.partial = carried.partial as usize;
+        front.announced = carried.announced.map(outcome);
+        front.asked = carried.unanswered.filter(|age| *age >= 0.0).map(|age| now - age);
+        front
+    }
+
     /// Reads `OPEN ID KEY name=value,...`; nothing of what is malformed, names what there is not, or is open
     /// already. A streamer would refuse it or close on it, which says nothing of the streamer, and the module
     /// would try the next one with it.
@@ -291,6 +305,18 @@
         self.asked
     }
 
+    fn carry(&self, now: Millis) -> Option<CarriedFront> {
+        let id = self.id.clone()?;
+        Some(CarriedFront {
+            key: self.rules.open.borrow().get(&id)?.clone(),
+            id,
+            word: self.word.clone(),
+            partial: self.partial as u64,
+            announced: self.announced.map(|outcome| outcome == Outcome::Ok),
+            unanswered: self.asked.map(|at| now - at),
+        })
+    }
+
     fn moved(&mut self, reply: &mut BytesMut) {
         reply.extend_from_slice(b"MOVE\r\n");
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use serde::{Deserialize, Serialize};
 
 use crate::interface::{Millis, Outcome};
 use crate::operations::Operation;
@@ -34,6 +35,23 @@
     Ended(Outcome),
 }
 
+/// What a front knows of a standing flow, for the process that serves next.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CarriedFront {
+    /// Its id and key.
+    pub id: String,
+    /// See above.
+    pub key: String,
+    /// Start of the streamer's current line, and how many bytes of it have passed.
+    pub word: Vec<u8>,
+    /// See above.
+    pub partial: u64,
+    /// What the streamer's last whole line says of its end: served, or sent away.
+    pub announced: Option<bool>,
+    /// How long the client's oldest line has been without an answer.
+    pub unanswered: Option<Millis>,
+}
+
 /// One client's side of the relay and, while a forward is out, its streamer's.
 pub trait Front {
     /// How long a client may take, from accept, until its flow is known.
@@ -93,6 +111,11 @@
     /// Writes what tells the client to come again.
     fn moved(&mut self, reply: &mut BytesMut);
 
+    /// What the next process has to know to go on in this one's place; nothing where it could not.
+    fn carry(&self, _now: Millis) -> Option<CarriedFront> {
+        None
+    }
+
     /// What it means that the streamer has now ended the connection in good order.
     fn streamer_end(&self) -> Outcome;
 }
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -11,7 +11,8 @@
 use sandgw_affinity::Record;
 use serde::{Deserialize, Serialize};
 
-use crate::carry::Carried;
+use crate::carry::{Carried, CarriedFlow};
+use crate::front::CarriedFront;
 use crate::interface::Millis;
 
 /// Form of the messages; processes of different forms don't hand over.
@@ -24,6 +25,8 @@
 pub const MEMBERS: usize = 64;
 /// Most sockets that are passed.
 pub const SOCKETS: usize = 8;
+/// Standing flows that are told to pass at a time.
+pub const FLOWS: usize = 64;
 /// How long the old process waits for a new one's first word, until it has all, and for its claim.
 const FIRST_WORD: Millis = 1000.0;
 const ABSORBED: Millis = 10_000.0;
@@ -75,6 +78,17 @@
     Claim,
     /// It may: the old process never accepts again while the new one lives.
     Yours,
+    /// A standing flow; its client's and its streamer's descriptors come beside it.
+    Flow {
+        /// As the core has it.
+        flow: Box<CarriedFlow>,
+        /// As its front has it.
+        front: Box<CarriedFront>,
+        /// Bytes on their way to the streamer.
+        up: Vec<u8>,
+        /// Bytes on their way to the client.
+        down: Vec<u8>,
+    },
     /// Descriptors that the old process holds now.
     Held {
         /// How many.
@@ -238,7 +252,9 @@
             (Successor::Taking, Records(_)) => (Successor::Taking, SuccessorStep::Absorb),
             (Successor::Taking, Yield { .. }) => (Successor::Claiming, SuccessorStep::Claim),
             (Successor::Claiming, Yours) => (Successor::Owner, SuccessorStep::Serve),
-            (Successor::Owner, Records(_) | Held { .. }) => (Successor::Owner, SuccessorStep::Absorb),
+            (Successor::Owner, Records(_) | Flow { .. } | Held { .. }) => {
+                (Successor::Owner, SuccessorStep::Absorb)
+            }
             _ => return SuccessorStep::Fail("the running process speaks out of turn".into()),
         };
         *self = next;
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -92,6 +92,16 @@
         seat
     }
 
+    /// A seat for a flow that another process of this relay has passed, with its two descriptors.
+    pub fn adopt(self: &Rc<Self>) -> Seat {
+        self.others.set(self.others.get().saturating_sub(2));
+        self.used.set(self.used.get() + 2);
+        self.flows.set(self.flows.get() + 1);
+        let id = self.next.get();
+        self.next.set(id + 1);
+        Seat { admission: self.clone(), id, flow: Cell::new(true), room: Rc::default() }
+    }
+
     /// Tells the oldest of those that are no flow to make room.
     pub fn clear(&self) {
         if let Some((_, oldest)) = self.idle.borrow_mut().pop_first() {
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +16,9 @@
 use super::admission::Seat;
 use super::pool::Pooled;
 use super::{Shared, local_shortage, span};
+use crate::carry::CarriedFlow;
 use crate::front::{Answer, Arrive, Front};
+use crate::handover::Message;
 use crate::interface::{Millis, Outcome, ServerId};
 use crate::relay::{FixedResponse, FlowCommand, FlowId};
 
@@ -56,6 +59,33 @@
     }
 }
 
+/// Goes on with a flow that stood at the process before.
+pub async fn adopt<F: Front>(shared: Rc<Shared>, passed: Passed<F>, seat: Seat) {
+    let Passed { flow, front, client, streamer, up, down } = passed;
+    let (mut input, mut first, reply) = (shared.pool.get(), shared.pool.get(), shared.pool.get());
+    input.extend_from_slice(&up);
+    first.extend_from_slice(&down);
+    let (sender, mut commands) = unbounded_channel();
+    let id = shared.relay.borrow_mut().adopt(shared.clock.now(), flow);
+    shared.flows.borrow_mut().insert(id, sender);
+    let _registered = Registered { shared: shared.clone(), id };
+    shared.settle();
+    let mut session = Session { shared, client, front, input, reply, seat, answered: true };
+    if let Err(e) = session.stand(id, streamer, first, &mut commands).await {
+        debug!("client: {e}");
+    }
+}
+
+/// A standing flow on its way from one process to the next.
+pub struct Passed<F> {
+    pub flow: CarriedFlow,
+    pub front: F,
+    pub client: TcpStream,
+    pub streamer: TcpStream,
+    pub up: Vec<u8>,
+    pub down: Vec<u8>,
+}
+
 struct Session<F> {
     shared: Rc<Shared>,
     client: TcpStream,
@@ -121,7 +151,12 @@
         let _registered = Registered { shared: self.shared.clone(), id };
         self.shared.settle();
         match self.place(id, deadline, &mut commands).await? {
-            Placed::Up(streamer, first) => self.stand(id, streamer, first, &mut commands).await,
+            Placed::Up(streamer, first) => {
+                let now = self.shared.clock.now();
+                self.front.client_sent(now, &self.input);
+                self.front.streamer_sent(now, &first);
+                self.stand(id, streamer, first, &mut commands).await
+            }
             Placed::Answered(response) => {
                 self.front.fixed(response, &mut self.reply);
                 self.close().await
@@ -156,7 +191,7 @@
             let (target, until) = match command {
                 Some(FlowCommand::Forward { target, until, .. }) => (target, until),
                 Some(FlowCommand::Answer(response)) => return Ok(Placed::Answered(response)),
-                Some(FlowCommand::Move) => continue,
+                Some(FlowCommand::Move | FlowCommand::Pass) => continue,
                 None => return Ok(Placed::Left),
             };
             let address = shared.target_group.borrow().address(&target);
@@ -213,6 +248,22 @@
         timeout(LINGER, drained).await?
     }
 
+    /// Gives the flow to the process that serves now, with descriptors of its own; whether it could.
+    fn pass(&self, id: FlowId, streamer: &TcpStream, up: &Pipe, down: &Pipe) -> bool {
+        let flow = self.shared.relay.borrow().carry_flow(id);
+        let Some((flow, front)) = flow.zip(self.front.carry(self.shared.clock.now())) else { return false };
+        let both = [self.client.as_fd().try_clone_to_owned(), streamer.as_fd().try_clone_to_owned()];
+        let [Ok(client), Ok(streamer)] = both else { return false };
+        let message = Message::Flow {
+            flow: Box::new(flow),
+            front: Box::new(front),
+            up: up.bytes().into(),
+            down: down.bytes().into(),
+        };
+        debug!("flow {}: passed on", id.0);
+        self.shared.passing.0.send((message, [client, streamer])).is_ok()
+    }
+
     /// Passes everything on, both ways, until both sides have ended.
     async fn stand(
         &mut self,
@@ -222,9 +273,6 @@
         commands: &mut UnboundedReceiver<FlowCommand>,
     ) -> io::Result<()> {
         let shared = self.shared.clone();
-        let now = shared.clock.now();
-        self.front.client_sent(now, &self.input);
-        self.front.streamer_sent(now, &first);
         let input = std::mem::replace(&mut self.input, shared.pool.get());
         let (mut up, mut down) = (Pipe::with(input), Pipe::with(first));
         let ended = |outcome| shared.core(|relay, now| relay.ended(now, id, outcome));
@@ -291,11 +339,16 @@
                 }
                 _ = self.client.writable(), if down.len() > 0 => {}
                 _ = streamer.writable(), if up.len() > 0 => {}
-                command = commands.recv(), if moving.is_none() => {
-                    if command == Some(FlowCommand::Move) && !down.eof {
+                command = commands.recv(), if moving.is_none() => match command {
+                    Some(FlowCommand::Move) if !down.eof => {
                         moving = Some((Outcome::Cancelled, Instant::now() + BOUNDARY));
                     }
-                }
+                    // One that is ending ends here.
+                    Some(FlowCommand::Pass) if !down.eof && !up.eof && self.pass(id, &streamer, &up, &down) => {
+                        return Ok(());
+                    }
+                    _ => {}
+                },
                 () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {
                     if half_open.is_some_and(|at| Instant::now() >= at) {
                         return Ok(());
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -16,13 +16,17 @@
 use sandgw_affinity::Record;
 use serde_json::Value;
 use tokio::io::{AsyncWriteExt, Interest};
-use tokio::net::{UnixListener, UnixStream};
+use tokio::net::{TcpStream, UnixListener, UnixStream};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::{Shared, span};
-use crate::carry::Carried;
+use super::{Shared, flow, span};
+use crate::carry::{Carried, CarriedFlow};
+use crate::front::CarriedFront;
+use crate::front::line::LineFront;
 use crate::handover::{
-    Elder, ElderStep, FORM, Frames, MEMBERS, Message, RECORDS, SOCKETS, Successor, SuccessorStep, encode,
+    Elder, ElderStep, FLOWS, FORM, Frames, MEMBERS, Message, RECORDS, SOCKETS, Successor, SuccessorStep,
+    encode,
 };
 use crate::interface::ListKind;
 
@@ -74,11 +78,16 @@
                     self.sockets.extend(sockets);
                 }
             }
-            self.sockets.truncate(SOCKETS);
+            self.sockets.truncate(2 * SOCKETS);
             self.frames.feed(&bytes[..read]);
         }
     }
 
+    /// The first descriptors that came, so many at the most.
+    fn take(&mut self, most: usize) -> Vec<OwnedFd> {
+        self.sockets.drain(..most.min(self.sockets.len())).collect()
+    }
+
     async fn send(&mut self, message: &Message, sockets: &[BorrowedFd<'_>]) -> io::Result<()> {
         let bytes = encode(message);
         let sent = async {
@@ -181,7 +190,10 @@
                 list.1.extend(read);
             }
             Message::Records(records) => restore(shared, records),
-            Message::Sockets(keys) => handed.extend(keys.into_iter().zip(old.link.sockets.drain(..))),
+            Message::Sockets(keys) => {
+                let sockets = old.link.take(keys.len());
+                handed.extend(keys.into_iter().zip(sockets));
+            }
             // The list comes first: what was learned is of its streamers.
             Message::Carried(piece) => {
                 known(shared, list.take()).map_err(refused)?;
@@ -244,6 +256,12 @@
         match message {
             Message::Held { descriptors } => shared.admission.set_others(descriptors as usize),
             Message::Records(records) => restore(&shared, records),
+            Message::Flow { flow, front, up, down } => {
+                let passed = adopt(&shared, old.link.take(2), *flow, *front, (up, down));
+                if let Err(e) = passed {
+                    warn!("hand-over: a flow is lost: {e}");
+                }
+            }
             _ => {}
         }
     }
@@ -252,6 +270,26 @@
     shared.predecessor.set(false);
 }
 
+/// Goes on with a standing flow of the process before.
+fn adopt(
+    shared: &Rc<Shared>,
+    sockets: Vec<OwnedFd>,
+    flow: CarriedFlow,
+    front: CarriedFront,
+    (up, down): (Vec<u8>, Vec<u8>),
+) -> io::Result<()> {
+    let stream = |socket: OwnedFd| TcpStream::from_std(socket.into());
+    let mut sockets = sockets.into_iter();
+    let (Some(client), Some(streamer)) = (sockets.next(), sockets.next()) else {
+        return Err(io::Error::other("it came without its sockets"));
+    };
+    let (client, streamer) = (stream(client)?, stream(streamer)?);
+    let front = LineFront::adopt(shared.rules.clone(), shared.clock.now(), front);
+    let passed = flow::Passed { flow, front, client, streamer, up, down };
+    tokio::task::spawn_local(flow::adopt(shared.clone(), passed, shared.admission.adopt()));
+    Ok(())
+}
+
 // --- the old process ---
 
 /// Hands the relay to the next process that asks for it, for as long as the program runs.
@@ -302,6 +340,8 @@
             }
         }
         if shared.relay.borrow().is_handed_over() {
+            // Nobody takes what stands: it is moved where it would be lost.
+            shared.core(|relay, now| relay.stand_by(now));
             return ending(&shared).await;
         }
     }
@@ -330,17 +370,49 @@
     Ok(listener)
 }
 
+/// Takes the flows that pass while there is somebody to take them; gives their way back when dropped.
+struct Passing<'a>(&'a Shared, Option<mpsc::UnboundedReceiver<super::Passing>>);
+
+impl Passing<'_> {
+    async fn next(&mut self) -> Option<super::Passing> {
+        self.1.as_mut()?.recv().await
+    }
+
+    fn is_empty(&self) -> bool {
+        self.1.as_ref().is_none_or(|flows| flows.is_empty())
+    }
+}
+
+impl Drop for Passing<'_> {
+    fn drop(&mut self) {
+        *self.0.passing.1.borrow_mut() = self.1.take();
+    }
+}
+
 /// One hand-over; it returns when the new process is gone or is given up.
 async fn hand(shared: &Rc<Shared>, elder: &mut Elder, mut link: Link) -> io::Result<()> {
     let name = shared.config.borrow().name.clone();
     let mut told = 0;
+    let mut passing = Passing(shared, shared.passing.1.borrow_mut().take());
+    let mut interval = tokio::time::interval(REPORT);
     loop {
         let message = match elder.patience() {
             Some(patience) => timeout(span(patience), link.next()).await??,
             None => tokio::select! {
                 message = link.next() => message?,
-                () = tokio::time::sleep(REPORT) => {
+                Some((flow, sockets)) = passing.next() => {
+                    link.send(&flow, &sockets.each_ref().map(AsFd::as_fd)).await?;
+                    continue;
+                }
+                _ = interval.tick() => {
                     report(shared, &mut link, &mut told).await?;
+                    if shared.terminated.get() {
+                        shared.core(|relay, _| relay.pass(FLOWS));
+                    }
+                    if passing.is_empty() && is_over(shared) {
+                        info!("hand-over: nothing is left here, ending");
+                        shared.over.notify_one();
+                    }
                     continue;
                 }
             },
@@ -437,9 +509,5 @@
     if std::mem::replace(told, descriptors) != descriptors {
         link.send(&Message::Held { descriptors: descriptors as u32 }, &[]).await?;
     }
-    if is_over(shared) {
-        info!("hand-over: nothing is left here, ending");
-        shared.over.notify_one();
-    }
     Ok(())
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -71,6 +71,9 @@
     Duration::try_from_secs_f64(millis.max(0.0) / 1000.0).unwrap_or(Duration::MAX / 4)
 }
 
+/// A standing flow on its way to the next process.
+type Passing = (crate::handover::Message, [OwnedFd; 2]);
+
 /// What the drivers share.
 struct Shared {
     clock: Clock,
@@ -92,6 +95,8 @@
     terminated: Cell<bool>,
     /// Nothing is left to do for a process that has handed over.
     over: Notify,
+    /// Standing flows on their way to the next process, with their client's and their streamer's descriptors.
+    passing: (mpsc::UnboundedSender<Passing>, RefCell<Option<mpsc::UnboundedReceiver<Passing>>>),
     /// What the next process is to have, by key and address.
     sockets: RefCell<Vec<(String, OwnedFd)>>,
     /// Writes behind what is to last, where there is a folder for it.
@@ -278,6 +283,7 @@
     let names = line_names(&relay, &config);
     let known = std::mem::take(&mut config.known);
     let target_group = std::mem::take(&mut config.target_group);
+    let (sender, passing) = mpsc::unbounded_channel();
     let shared = Rc::new(Shared {
         clock,
         relay: RefCell::new(relay),
@@ -292,6 +298,7 @@
         predecessor: Cell::new(false),
         terminated: Cell::new(false),
         over: Notify::new(),
+        passing: (sender, RefCell::new(Some(passing))),
         sockets: RefCell::default(),
         keeper,
         rules: Rc::new(LineRules::new(names)),
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -245,7 +245,8 @@
                 *self.stations[at].armed.entry(token).or_default() += 1;
                 self.after(after.max(0.0), Due::Timer(at, token));
             }
-            Command::Watch => {}
+            // No process hands over in these runs.
+            Command::Watch | Command::Flow(_, FlowCommand::Pass) => {}
             Command::Tell { peer, message } => {
                 let delay = self.span(1.0, 30.0);
                 if self.dice.random_bool(0.9) {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,7 +10,7 @@
 use sandgw_affinity::{Changes, Figures, Record, Restored};
 
 use crate::Balancer;
-use crate::carry::Carried;
+use crate::carry::{Carried, CarriedFlow};
 use crate::classes::Classes;
 use crate::interface::*;
 use crate::operations::{MOVE_STEP, Operation, moves_now};
@@ -78,6 +78,8 @@
     Answer(FixedResponse),
     /// Tell the client of a standing flow to come again, and close both sides.
     Move,
+    /// Pass the standing flow to the process that serves now, if its front can.
+    Pass,
 }
 
 /// What the drivers are to do.
@@ -152,6 +154,8 @@
     holder_only: bool,
     led_elsewhere: bool,
     moving: bool,
+    /// It was told to pass.
+    passing: bool,
 }
 
 #[derive(Default)]
@@ -291,6 +295,7 @@
             holder_only: arrival.holder_only,
             led_elsewhere: arrival.led_elsewhere,
             moving: false,
+            passing: false,
         };
         match arrival.at {
             None => self.events.push_back(Event::Request(request)),
@@ -460,11 +465,75 @@
         self.standby.map(|since| now - since)
     }
 
-    /// Another process serves in this one's place from now on: flows that would be lost with this one are moved as
-    /// on standby, though the relay goes on taking whoever comes.
+    /// Another process serves in this one's place from now on.
     pub fn hand_over(&mut self, now: Millis) {
         self.handed_over = Some(now);
+    }
+
+    /// The process ends soon: so many standing flows are told to pass to the other, and those that can't are moved as
+    /// on standby, though the relay goes on taking whoever comes.
+    pub fn pass(&mut self, most: usize) {
         self.start_emptying();
+        let standing = |f: &Flow| matches!(f.stage, Stage::Standing(_)) && !f.moving && !f.passing;
+        let flows = self.flows.iter().filter(|(_, f)| standing(f) && f.led_elsewhere);
+        let mut flows: Vec<FlowId> = flows.map(|(id, _)| *id).collect();
+        flows.sort_unstable();
+        for id in flows.into_iter().take(most) {
+            self.flows.entry(id).and_modify(|f| f.passing = true);
+            self.commands.push(Command::Flow(id, FlowCommand::Pass));
+        }
+    }
+
+    /// A standing flow, for the process that serves now.
+    pub fn carry_flow(&self, id: FlowId) -> Option<CarriedFlow> {
+        let flow = self.flows.get(&id)?;
+        let Stage::Standing(target) = &flow.stage else { return None };
+        let request = &self.balancer.ledger.conns.get(&id)?.request;
+        let text = |key: &Option<Key>| key.as_ref().map(|k| k.0.to_string());
+        Some(CarriedFlow {
+            class: flow.class.and_then(|c| self.classes.name(c)).unwrap_or_default().to_owned(),
+            target: target.0.to_string(),
+            client: text(&request.client),
+            group: text(&request.group),
+            load: request.load,
+            sent_away: request.sent_away,
+            led_elsewhere: flow.led_elsewhere,
+        })
+    }
+
+    /// Takes a flow that stood at the process before.
+    pub fn adopt(&mut self, now: Millis, carried: CarriedFlow) -> FlowId {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let key = |text: Option<String>| text.map(|t| Key(t.into()));
+        let target = ServerId(carried.target.into());
+        let request = Request {
+            id,
+            class: self.classes.position(&carried.class),
+            client: key(carried.client),
+            group: key(carried.group),
+            deadline: now,
+            spent: 0.0,
+            load: carried.load.filter(|load| load.is_finite() && *load > 0.0),
+            mid_flow: false,
+            returned: false,
+            sent_away: carried.sent_away,
+        };
+        let flow = Flow {
+            stage: Stage::Standing(target.clone()),
+            class: request.class,
+            attempts: 1,
+            answered: true,
+            holder_only: false,
+            led_elsewhere: carried.led_elsewhere,
+            moving: false,
+            passing: false,
+        };
+        self.flows.insert(id, flow);
+        self.targets.entry(target.clone()).or_default().standing += 1;
+        self.events.push_back(Event::Open { request, server: target });
+        self.settle(now);
+        id
     }
 
     /// The other process has failed, and this one serves again.
@@ -504,7 +573,8 @@
             return;
         };
         let told = |f: &Flow| matches!(f.stage, Stage::Standing(_)) && !f.moving;
-        let stays = |f: &Flow| self.passes && f.led_elsewhere;
+        // Where another process serves they pass to that one.
+        let stays = |f: &Flow| f.led_elsewhere && (self.passes || self.standby.is_none());
         let flows = self.flows.iter().filter(|(_, f)| told(f) && !stays(f));
         let mut flows: Vec<FlowId> = flows.map(|(id, _)| *id).collect();
         flows.sort_unstable();
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -112,8 +112,13 @@
 #[test]
 fn a_new_process_takes_the_relay_under_load() {
     let fleet = Fleet::start();
-    let mut held: Vec<_> = (0..20).map(|_| stand(&fleet.relay)).collect();
+    // More than pass at a time, each in the middle of a line.
+    let mut held: Vec<_> = (0..100).map(|_| stand(&fleet.relay)).collect();
+    for client in &mut held {
+        client.send("st");
+    }
     let done = AtomicBool::new(false);
+    assert_eq!(fleet.relay.status(), "done active, 100 standing");
     let new = thread::scope(|scope| {
         let load = (0..4).map(|_| {
             scope.spawn(|| {
@@ -127,6 +132,7 @@
         let load: Vec<_> = load.collect();
         let new = fleet.relay.beside();
         until("the new process serves", || new.status().starts_with("done active"));
+        assert_eq!(fleet.relay.status(), "error handed over: a new process serves in this one's place");
         fleet.relay.terminate();
         thread::sleep(Duration::from_millis(300));
         done.store(true, Ordering::Relaxed);
@@ -135,13 +141,12 @@
         assert!(wrong.is_empty() && answers.len() > 50, "{wrong:?} of {}", answers.len());
         new
     });
-    assert_eq!(fleet.relay.status(), "error handed over: a new process serves in this one's place");
+    // Who stands follows, and the old one ends once it has nothing; its RTMP listener is the new one's too.
+    until("the old process ends", || fleet.relay.has_ended());
     for client in &mut held {
-        assert_eq!(client.send("still\r\n").line(), "still");
+        assert_eq!(client.send("ill\r\n").line(), "still");
     }
-    // Its RTMP listener and its agent's socket are the new one's too: the old one ends once it has nothing.
-    drop(held);
-    until("the old process ends", || fleet.relay.has_ended());
+    assert_eq!(new.status(), "done active, 100 standing");
     drop(connect(&new.rtmp));
     assert!(stand(&new).send("on\r\n").line() == "on" && new.status().starts_with("done active"));
     // And so on: the next version finds this one.
@@ -149,6 +154,13 @@
     let third = new.beside();
     until("the third serves", || third.status().starts_with("done active"));
     assert!(stand(&third).send("on\r\n").line() == "on");
+    assert_eq!(held[99].send("on\r\n").line(), "on", "it stays until its process is told to end");
+    new.terminate();
+    until("the second ends", || new.has_ended());
+    assert_eq!(held[0].send("on\r\n").line(), "on");
+    // They are as good as any: their streamer's end reaches them.
+    assert_eq!(held[0].send("bye\r\n").line(), "BYE");
+    assert_eq!(held[0].line(), "(end)");
 }
 
 /// What was known of clients comes along: a connection that arrives mid-flow finds its streamer.
@@ -177,6 +189,8 @@
     until("the new process serves", || new.status().starts_with("done standby"));
     assert_eq!(new.client().send("PING\r\n").line(), "STANDBY");
     assert_eq!(new.call(b"active\n"), "done active, 0 standing");
+    old.terminate();
+    until("all have followed", || new.status() == "done active, 40 standing");
     drop(before);
     let again: Vec<_> = (0..40).map(|key| ask(&new, key, ",mid=1").0).collect();
     assert_eq!(again, at);
@@ -368,9 +382,10 @@
     };
     let beside = placed(&new);
     assert!((1..20).contains(&beside), "{beside} placed beside 50 of the old process");
-    drop(held);
     old.terminate();
     until("the old process ends", || old.has_ended());
+    assert!((1..=20).contains(&placed(&new)), "the flows that followed count here");
+    drop(held);
     until("there is room again", || placed(&new) >= 50);
     assert!(start.elapsed() < LONG);
 }
--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -407,3 +407,25 @@
     assert!(told.contains("NetConnection.Connect.ReconnectRequest"), "{told}");
     until("it is gone", || relay.call(b"status\n") == "done standby, 0 standing");
 }
+
+/// A flow whose chunks are not carried to the new process is told to reconnect, and the old one ends.
+#[test]
+fn a_hand_over_tells_a_flow_to_reconnect() {
+    let _alone = alone();
+    let (streamers, discovery) = ([streamer("one", TAKES, PACE)], Discovery::start());
+    discovery.set("s-0", &streamers[0].address, "Ready", 0);
+    let folder = tempfile::tempdir().unwrap();
+    let more = format!("[relay]\nhandover = {:?}\n", folder.path());
+    let old = Relay::start_more(&discovery, 1024, &[host()], 0, &more);
+    until("it can be found", || folder.path().join("sandgw-handover").exists());
+    let (mut client, _) = Peer::open(&old, "vod/1", &[]);
+    client.number().unwrap();
+    let new = old.beside();
+    until("the new process serves", || new.status().starts_with("done active"));
+    old.terminate();
+    let told = client.told();
+    assert!(told.contains("NetConnection.Connect.ReconnectRequest"), "{told}");
+    until("the old process ends", || old.has_ended());
+    let (mut client, _) = Peer::open(&new, "vod/1", &[]);
+    client.number().unwrap();
+}
