Let progress, not age, say who makes room in a crowd

Cause: Admission::clear evicted the oldest of those that are no flow, and first_line_ms of 2,000 cut who takes 2 s to write. Test: a slow writer among 150 connections a second, at 128 descriptors.

--- a/src/config.rs
+++ b/src/config.rs
@@ -94,14 +94,14 @@
 pub struct Limits {
     /// Descriptors that the process may hold. The platform says, and it is the usual limit elsewhere.
     pub sockets: usize,
-    /// How long a client of the line protocol may take for its first line. Clients send it as soon as they
-    /// are connected; one that has not is owed an end within 3 s, of which a busy relay may need some.
+    /// How long a client of the line protocol may take for its first line. Some take 2 s; one that never ends it is
+    /// owed an end within 3 s, of which a busy relay may need some.
     pub first_line: Millis,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024, first_line: 2000.0 }
+        Limits { sockets: 1024, first_line: 2600.0 }
     }
 }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -61,6 +61,11 @@
     /// relay does is told what it does.
     fn arrive(&mut self, now: Millis, does: Operation, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive;
 
+    /// Whether a client is in the middle of saying what it wants, of which this is left.
+    fn has_begun(&self, input: &BytesMut) -> bool {
+        !input.is_empty()
+    }
+
     /// Whether a client may go on speaking before it has its answer.
     fn speaks_early(&self) -> bool {
         true
--- a/src/front/rtmp/mod.rs
+++ b/src/front/rtmp/mod.rs
@@ -213,6 +213,10 @@
         (self.settings.give_up - MARGIN).max(0.0)
     }
 
+    fn has_begun(&self, input: &BytesMut) -> bool {
+        !matches!(self.stage, Stage::Start) || !input.is_empty()
+    }
+
     fn arrive(&mut self, now: Millis, _: Operation, input: &mut BytesMut, reply: &mut BytesMut) -> Arrive {
         self.accepted.get_or_insert(now);
         loop {
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -2,13 +2,14 @@
 //!
 //! A connection that has not asked for anything takes one, a flow two: its client's and its streamer's. Since
 //! nobody has to say anything to connect, those that have not asked only get what is left, and when nothing
-//! is, the one that is here longest makes room: a client of the protocol asks as soon as it is connected.
+//! is, the one makes room of whom least is to be expected: progress tells, not age.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
+use tokio::time::{Duration, Instant};
 
 /// Descriptors of the program itself: standard streams (3), poller, waker and signals (4), listeners (2),
 /// datagrams (2), discovery's call, a file that is read, one accepted client for each listener (2), the operators'
@@ -24,6 +25,30 @@
 /// One part in so many is never given to flows: a newcomer must be heard before it can be refused.
 const UNHEARD: usize = 8;
 
+/// Who has come, or asked, so lately has his request on its way most likely.
+const FRESH: Duration = Duration::from_millis(100);
+
+/// How far a connection has come that is no flow.
+#[derive(Clone, Copy)]
+struct Progress {
+    /// It is in the middle of its request.
+    begun: bool,
+    /// When it came, or last said something.
+    at: Instant,
+}
+
+impl Progress {
+    fn now(begun: bool) -> Self {
+        Progress { begun, at: Instant::now() }
+    }
+
+    /// Who makes room first: who has begun nothing, then who is stalled, each by how long nothing came of him; who is
+    /// fresh comes last.
+    fn order(&self, now: Instant) -> (bool, bool, Instant) {
+        (!self.begun && now - self.at < FRESH, self.begun, self.at)
+    }
+}
+
 /// Counts descriptors.
 pub struct Admission {
     /// What the process may hold but for its own, and what another process of this relay holds of that.
@@ -32,8 +57,8 @@
     used: Cell<usize>,
     flows: Cell<usize>,
     next: Cell<u64>,
-    /// Connections that are no flow, oldest first, with what tells them to make room.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Connections that are no flow, with what tells them to make room.
+    idle: RefCell<BTreeMap<u64, (Progress, Rc<Notify>)>>,
     freed: Notify,
 }
 
@@ -88,7 +113,7 @@
             room: Rc::default(),
         };
         self.next.set(seat.id + 1);
-        self.idle.borrow_mut().insert(seat.id, seat.room.clone());
+        self.idle.borrow_mut().insert(seat.id, (Progress::now(false), seat.room.clone()));
         seat
     }
 
@@ -102,10 +127,12 @@
         Seat { admission: self.clone(), id, flow: Cell::new(true), room: Rc::default() }
     }
 
-    /// Tells the oldest of those that are no flow to make room.
+    /// Tells one of those that are no flow to make room.
     pub fn clear(&self) {
-        if let Some((_, oldest)) = self.idle.borrow_mut().pop_first() {
-            oldest.notify_one();
+        let (mut idle, now) = (self.idle.borrow_mut(), Instant::now());
+        let first = idle.iter().min_by_key(|(_, (progress, _))| progress.order(now)).map(|(id, _)| *id);
+        if let Some((_, room)) = first.and_then(|id| idle.remove(&id)) {
+            room.notify_one();
         }
     }
 
@@ -129,6 +156,12 @@
         self.room.clone()
     }
 
+    /// The connection has said something; whether it is in the middle of its request.
+    pub fn heard(&self, begun: bool) {
+        let mut idle = self.admission.idle.borrow_mut();
+        idle.entry(self.id).and_modify(|(progress, _)| *progress = Progress::now(begun));
+    }
+
     /// The connection asks to be placed and needs a descriptor for its forwards; whether it gets one.
     pub fn ask(&self) -> bool {
         let a = &self.admission;
@@ -152,7 +185,7 @@
             let a = &self.admission;
             a.flows.set(a.flows.get() - 1);
             a.release(1);
-            a.idle.borrow_mut().insert(self.id, self.room.clone());
+            a.idle.borrow_mut().insert(self.id, (Progress::now(false), self.room.clone()));
         }
     }
 }
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -118,6 +118,7 @@
 impl<F: Front> Session<F> {
     async fn run(&mut self, accepted: Millis) -> io::Result<()> {
         let limit = self.shared.clock.at(accepted + self.front.patience());
+        let mut spoken = false;
         let arrival = loop {
             let now = self.shared.clock.now();
             let does = self.shared.relay.borrow().operation();
@@ -129,8 +130,11 @@
                 Arrive::Close => return self.close().await,
                 Arrive::More => written??,
             }
+            if spoken {
+                self.seat.heard(self.front.has_begun(&self.input));
+            }
             match timeout_at(limit, more(&self.client, &mut self.input)).await {
-                Ok(Ok(n)) if n > 0 => {}
+                Ok(Ok(n)) if n > 0 => spoken = true,
                 Ok(_) => return Ok(()),
                 Err(_) => {
                     self.front.fixed(FixedResponse::Failed, &mut self.reply);
--- a/tests/line.rs
+++ b/tests/line.rs
@@ -548,3 +548,49 @@
     assert_eq!(held.send("still\r\n").line(), "still");
     assert!(relay.memory() < before + 1024, "{before} KiB before, {} after", relay.memory());
 }
+
+/// In a crowd that connects and never finishes, progress tells who makes room: a client that takes 2 s to write once
+/// lost its place to those who came after it, or its time was up.
+#[test]
+fn a_slow_writer_is_served_in_a_crowd_that_never_finishes() {
+    let streamer = Streamer::lines("UP 17\r\n");
+    let discovery = Discovery::start();
+    discovery.set("s-1", &streamer.address, "Ready", 0);
+    let relay = Relay::start_with(&discovery, 128);
+    let (answer, quick, ends) = thread::scope(|scope| {
+        let crowd = ["", "PING\r\n", "OPEN 1 2 c=subtitle"].map(|says| {
+            let relay = &relay;
+            scope.spawn(move || {
+                let (start, mut here) = (Instant::now(), Vec::new());
+                while start.elapsed() < Duration::from_secs(4) {
+                    let mut client = connect(&relay.line);
+                    let _ = client.write_all(says.as_bytes());
+                    here.push(client);
+                    thread::sleep(Duration::from_millis(20));
+                }
+                // Whoever is here for 3 s must have had his end; all of these are, and the machine may be slow.
+                thread::sleep(Duration::from_millis(4500));
+                let ended = |client: &TcpStream| {
+                    client.set_nonblocking(true).unwrap();
+                    let (mut rest, mut reader) = (Vec::new(), client);
+                    let end = reader.read_to_end(&mut rest);
+                    !end.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+                        && !rest.starts_with(b"UP")
+                };
+                (here.len(), here.iter().filter(|client| ended(client)).count())
+            })
+        });
+        thread::sleep(Duration::from_millis(300));
+        let (mut slow, line) = (connect(&relay.line), "OPEN 9b1f 7f3a c=subtitle-stream,t=acme,d=2000\r\n");
+        for part in line.as_bytes().chunks(line.len() / 8 + 1) {
+            let _ = slow.write_all(part);
+            thread::sleep(Duration::from_millis(250));
+        }
+        let answer = Client(BufReader::new(slow)).line();
+        let quick: Vec<_> = (0..10).map(|_| relay.client().open("").line()).collect();
+        (answer, quick, crowd.map(|c| c.join().unwrap()))
+    });
+    assert_eq!(answer, "UP 17");
+    assert!(quick.iter().all(|up| up == "UP 17"), "{quick:?}");
+    assert!(ends.iter().all(|(came, ended)| came == ended && *came > 100), "{ends:?}");
+}
