Cut off flows on their way when the new process dies, and say what is open

Cause, by reading: a flow that was passed after the link had broken waited in a queue that nobody read, and its client hung until the process was killed.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -349,6 +349,8 @@
 
 /// Waits until nothing is left of a process that has no successor to tell of it any more.
 async fn ending(shared: &Rc<Shared>) {
+    // A flow that is told to pass now stays: there is no way any more.
+    drop(shared.passing.1.borrow_mut().take());
     while !is_over(shared) {
         tokio::time::sleep(REPORT).await;
     }
@@ -385,6 +387,8 @@
 
 impl Drop for Passing<'_> {
     fn drop(&mut self) {
+        // What was on its way has nowhere to go: its client is better cut off than left waiting.
+        while self.1.as_mut().is_some_and(|flows| flows.try_recv().is_ok()) {}
         *self.0.passing.1.borrow_mut() = self.1.take();
     }
 }
