--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -389,3 +389,29 @@
     until("there is room again", || placed(&new) >= 50);
     assert!(start.elapsed() < LONG);
 }
+
+/// The new process dies after the old one was told to end: flows not passed yet go on where they are, and nothing is
+/// accepted there again.
+#[test]
+fn who_dies_while_flows_pass_takes_only_those_along() {
+    let fleet = Fleet::start();
+    let mut held: Vec<_> = (0..100).map(|_| stand(&fleet.relay)).collect();
+    let mut asker = fleet.whole();
+    asker.say(&Message::Take);
+    asker.hear_until(|m| matches!(m, Message::Yield { .. }));
+    asker.say(&Message::Claim);
+    asker.hear_until(|m| *m == Message::Yours);
+    fleet.relay.terminate();
+    asker.hear_until(|m| matches!(m, Message::Flow { .. }));
+    drop(asker);
+    until("it is heard", || fleet.relay.log().contains("hand-over: "));
+    let goes_on = |client: &mut Client| {
+        let _ = client.0.get_mut().write_all(b"still\r\n");
+        client.line() == "still"
+    };
+    let left = held.iter_mut().filter_map(|c| goes_on(c).then_some(())).count();
+    assert!((1..100).contains(&left), "{left} go on");
+    assert!(!fleet.serves());
+    drop(held);
+    until("it ends", || fleet.relay.has_ended());
+}
