Hear an operator who has just come before anybody makes room, and wait at one gate

By reading: the same wait at the gate stood in accept, peers and snmp, and all that was learned was built for one figure of Yield. Change: pause, then take the reserve back, then clear; while_open serves all three; Relay::cold_in.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -432,7 +432,7 @@
                 changes(shared, &mut link).await?;
                 let (standby, cold_in) = {
                     let (now, relay) = (shared.clock.now(), shared.relay.borrow());
-                    (relay.standby_for(now), relay.carry(now).first().map_or(0.0, |c| c.cold_in))
+                    (relay.standby_for(now), relay.cold_in(now))
                 };
                 let descriptors = shared.admission.held() as u32;
                 link.send(&Message::Yield { descriptors, standby, cold_in }, &[]).await?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -177,6 +177,16 @@
     }
 }
 
+/// Waits for something while a gate is open; nothing where it was shut first.
+async fn while_open<T>(gate: &mut watch::Receiver<bool>, work: impl Future<Output = T>) -> Option<T> {
+    until(gate, true).await;
+    tokio::select! {
+        biased;
+        () = until(gate, false) => None,
+        done = work => Some(done),
+    }
+}
+
 /// Accepts whenever the gate is open, for as long as the program runs.
 async fn accept(
     admission: Rc<Admission>,
@@ -186,12 +196,7 @@
 ) {
     let mut short: Option<Instant> = None;
     loop {
-        until(&mut gate, true).await;
-        let accepted = tokio::select! {
-            biased;
-            () = until(&mut gate, false) => continue,
-            accepted = listener.accept() => accepted,
-        };
+        let Some(accepted) = while_open(&mut gate, listener.accept()).await else { continue };
         match accepted {
             Ok((client, from)) => serve(client, from, admission.seat().await),
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -46,8 +46,12 @@
             Err(e) => {
                 debug!("ops: {e}");
                 if reserve.take().is_none() {
-                    clear(&seats);
+                    // The system says so even when nobody waits: who has just come is heard before anybody makes room.
                     tokio::time::sleep(ACCEPT_PAUSE).await;
+                    reserve = another();
+                    if reserve.is_none() {
+                        clear(&seats);
+                    }
                 }
                 continue;
             }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -4,7 +4,7 @@
 
 use log::warn;
 
-use super::{Shared, until};
+use super::{Shared, while_open};
 use crate::interface::Message;
 use crate::peers;
 
@@ -27,12 +27,8 @@
     let mut buffer = [0; peers::BUFFER];
     loop {
         // What comes while another process serves is for that one.
-        until(&mut gate, true).await;
-        let received = tokio::select! {
-            biased;
-            () = until(&mut gate, false) => continue,
-            received = socket.recv_from(&mut buffer) => received,
-        };
+        let received = while_open(&mut gate, socket.recv_from(&mut buffer)).await;
+        let Some(received) = received else { continue };
         match received {
             Ok((length, from)) => {
                 let peer = shared.config.borrow().peers.iter().position(|a| *a == from);
--- a/src/net/snmp.rs
+++ b/src/net/snmp.rs
@@ -5,7 +5,7 @@
 use log::debug;
 use tokio::net::UdpSocket;
 
-use super::{Shared, until};
+use super::{Shared, while_open};
 use crate::snmp;
 
 /// Longest question; a manager's are far shorter.
@@ -16,12 +16,8 @@
     let mut buffer = vec![0; QUESTION];
     let mut gate = shared.gate.subscribe();
     loop {
-        until(&mut gate, true).await;
-        let received = tokio::select! {
-            biased;
-            () = until(&mut gate, false) => continue,
-            received = socket.recv_from(&mut buffer) => received,
-        };
+        let received = while_open(&mut gate, socket.recv_from(&mut buffer)).await;
+        let Some(received) = received else { continue };
         match received {
             Ok((length, from)) => {
                 let written = shared.keeper.as_ref().map(|k| k.written()).unwrap_or_default();
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -556,6 +556,11 @@
         self.balancer.carry(now)
     }
 
+    /// How long from now no new connection may go to a cold streamer.
+    pub fn cold_in(&self, now: Millis) -> Millis {
+        self.balancer.next_cold - now
+    }
+
     /// Takes what the process before has learned, after its list.
     pub fn carried(&mut self, now: Millis, piece: Carried) {
         self.balancer.carried(now, piece);
