Begin an attempt only while its client, window, time and target are what they were

Seen (tests/attempts.rs, on the program before): a repeat of a class that may be repeated within 3.4 s began 3.6 to 4.5 s after its first attempt in 8 of 8 flows, since its connection came up late; a connection that came up together with its client's end had its line written in 1 of 16; where the streamer's id stood at another address by then, its line went to the old one.

Lines at fault: rules.rs advance looked at the window when the repeat was decided only; net/flow.rs forward looked at the list only where the streamer had been ready at the driver's turn (not at the decision) and never at address, time or client; both select! of place were unbiased, and the inner one took any command for its answer and was off from then on.

Ruled out: line and end both there before the first read (connecting takes a turn of the poller, in which the end is seen: 100 clients, none begun); many that leave as their first attempt ends.

Change: Attempt carries begin_by and was_ready from its decision; connect gives up when the window ends, so that the client is answered at once; right before the first byte client, time, window, list and address are looked at again, the client by the system's word (Pooled::look). A client's end comes first of what is there together. A client that has sent all that there is room for is seen to leave by the end of its reading side. A departed client's place is given back before its connection is waited for.

--- a/benches/spread.rs
+++ b/benches/spread.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, Zipf};
 use sandgw::interface::*;
-use sandgw::relay::{Arrival, Command, FlowCommand, FlowId, Relay};
+use sandgw::relay::{Arrival, Attempt, Command, FlowCommand, FlowId, Relay};
 use sandgw_affinity::Record;
 use sandgw_affinity::piece::Kind;
 
@@ -200,7 +200,7 @@
         let Some(relay) = &mut self.relays[at] else { return };
         for command in relay.take_commands() {
             match command {
-                Command::Flow(flow, FlowCommand::Forward { target, .. }) => {
+                Command::Flow(flow, FlowCommand::Forward(Attempt { target, .. })) => {
                     if let Some(h) = self.held.values_mut().find(|h| h.relay == at && h.flow == flow) {
                         h.streamer = target;
                     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -370,6 +370,8 @@
         server: ServerId,
         /// When to give the attempt up.
         until: Millis,
+        /// Before when it has to begin: a connection may take its time to come up.
+        begin_by: Millis,
     },
     /// Final answer: rejected, a retry is harmless.
     Refuse {
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -3,15 +3,17 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use log::{Level, debug, log_enabled};
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::admission::Seat;
 use super::pool::Pooled;
@@ -19,8 +21,8 @@
 use crate::carry::CarriedFlow;
 use crate::front::{Answer, Arrive, Front};
 use crate::handover::Message;
-use crate::interface::{Key, Millis, Outcome, ServerId};
-use crate::relay::{Arrival, FixedResponse, FlowCommand, FlowId};
+use crate::interface::{Key, Millis, Outcome};
+use crate::relay::{Arrival, Attempt, FixedResponse, FlowCommand, FlowId};
 
 /// How long a last word may take to reach a client, and the client to close after it.
 const LINGER: Duration = Duration::from_millis(500);
@@ -34,6 +36,9 @@
 const SILENCE: Millis = 4500.0;
 /// How often a message without an answer counts as slow.
 const SLOW_STEP: Millis = 1000.0;
+/// How often it is looked whether a client has left whose bytes there is no more room for: what it has sent stands
+/// before its end.
+const LOOK: Duration = Duration::from_millis(40);
 /// How long a client that is told to move is kept for the end of a message that the streamer has begun.
 const BOUNDARY: Duration = Duration::from_millis(500);
 
@@ -136,12 +141,19 @@
             match timeout_at(limit, more(&self.client, &mut self.input)).await {
                 Ok(Ok(n)) if n > 0 => spoken = true,
                 Ok(_) => return Ok(()),
+                // Its line came in the very moment: it is heard, not answered unread.
+                Err(_) if matches!(self.input.look(&self.client), Ok(Some(n)) if n > 0) => spoken = true,
                 Err(_) => {
                     self.front.fixed(FixedResponse::Failed, &mut self.reply);
                     return self.close().await;
                 }
             }
         };
+        // Its end may have come with its line, before either was read: nothing is sent for it.
+        if has_gone(&self.client, &mut self.input, self.front.speaks_early()) {
+            self.front.fixed(FixedResponse::Failed, &mut self.reply);
+            return self.close().await;
+        }
         if !self.seat.ask() {
             self.front.fixed(FixedResponse::Busy(self.shared.retry_after()), &mut self.reply);
             return self.close().await;
@@ -169,6 +181,8 @@
                 self.close().await
             }
             Placed::Left => {
+                // At once: its place is another's while it is waited for to close.
+                self.shared.core(|relay, now| relay.left(now, id));
                 // It may have ended its sending only, and still read.
                 self.front.fixed(FixedResponse::Failed, &mut self.reply);
                 self.close().await
@@ -187,44 +201,51 @@
         let limit = shared.clock.at(deadline);
         let early = self.front.speaks_early();
         loop {
+            // Of what has come together the client's end counts first: nothing may begin after it.
             let command = tokio::select! {
-                command = commands.recv() => command,
+                biased;
                 () = gone(&self.client, &mut self.input, early) => return Ok(Placed::Left),
+                command = commands.recv() => command,
                 () = sleep_until(limit) => {
                     shared.core(|relay, now| relay.overdue(now, id));
                     commands.recv().await
                 }
             };
-            let (target, until) = match command {
-                Some(FlowCommand::Forward { target, until, .. }) => (target, until),
+            let attempt = match command {
+                Some(FlowCommand::Forward(attempt)) => attempt,
                 Some(FlowCommand::Answer(response)) => return Ok(Placed::Answered(response)),
                 Some(FlowCommand::Move | FlowCommand::Pass) => continue,
                 None => return Ok(Placed::Left),
             };
-            let address = shared.target_group.borrow().address(&target);
+            let target = &attempt.target;
             let sent = shared.clock.now();
-            let outcome = match address {
-                None => Err(Outcome::NotSent),
-                Some(address) => tokio::select! {
-                    up = forward(&shared, &mut self.front, (&target, address), until) => up,
-                    () = gone(&self.client, &mut self.input, early) => return Ok(Placed::Left),
-                    // The core has answered for a flow that was overdue.
-                    Some(FlowCommand::Answer(response)) = commands.recv() => {
-                        return Ok(Placed::Answered(response));
-                    }
-                    () = sleep_until(limit) => {
-                        shared.core(|relay, now| relay.overdue(now, id));
-                        continue;
+            let connected = connect(&shared, &attempt);
+            let waited = meanwhile(&self.client, &mut self.input, early, (commands, limit), connected).await;
+            let waited = match waited {
+                Waited::Done(Ok(_)) if has_gone(&self.client, &mut self.input, early) => Waited::Left,
+                Waited::Done(Ok((address, streamer))) => match may_begin(&shared, &attempt, address) {
+                    Ok(()) => {
+                        let exchanged = exchange(&shared, &mut self.front, streamer, attempt.until);
+                        meanwhile(&self.client, &mut self.input, early, (commands, limit), exchanged).await
                     }
+                    Err(outcome) => Waited::Done(Err(outcome)),
                 },
+                Waited::Done(Err(outcome)) => Waited::Done(Err(outcome)),
+                Waited::Left => Waited::Left,
+                Waited::Answered(response) => Waited::Answered(response),
+                Waited::Overdue => Waited::Overdue,
             };
-            match outcome {
-                Ok((streamer, first)) => {
+            match waited {
+                Waited::Left => return Ok(Placed::Left),
+                // The core has answered for a flow that was overdue.
+                Waited::Answered(response) => return Ok(Placed::Answered(response)),
+                Waited::Overdue => shared.core(|relay, now| relay.overdue(now, id)),
+                Waited::Done(Ok((streamer, first))) => {
                     debug!("flow {}: stands at {} after {:.0} ms", id.0, target.0, shared.clock.now() - sent);
                     shared.core(|relay, now| relay.established(now, id, now - sent));
                     return Ok(Placed::Up(streamer, first));
                 }
-                Err(outcome) => {
+                Waited::Done(Err(outcome)) => {
                     debug!("flow {}: {} {outcome:?}", id.0, target.0);
                     shared.core(|relay, now| relay.ended(now, id, outcome));
                 }
@@ -496,38 +517,99 @@
 /// Waits until a client that waits for its answer ends the connection, or speaks where it may not; keeps what
 /// it may send early.
 async fn gone(client: &TcpStream, input: &mut Pooled, early: bool) {
-    while input.room() > 0 {
-        if !matches!(more(client, input).await, Ok(n) if n > 0 && early) {
+    loop {
+        if input.room() > 0 {
+            if !matches!(more(client, input).await, Ok(n) if n > 0 && early) {
+                return;
+            }
+        } else if client.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
+            sleep(LOOK).await;
+        } else {
             return;
         }
     }
-    std::future::pending().await
 }
 
-/// One attempt: the streamer's connection with its first bytes for the client, or how it ended. Dropped, it
-/// gives the attempt up.
-async fn forward<F: Front>(
+/// The same as it is now, by the system's word: the poller's may not have been heard yet.
+fn has_gone(client: &TcpStream, input: &mut Pooled, early: bool) -> bool {
+    while input.room() > 0 {
+        match input.look(client) {
+            Ok(None) => return false,
+            Ok(Some(n)) if n > 0 && early => {}
+            Ok(_) | Err(_) => return true,
+        }
+    }
+    false
+}
+
+/// How waiting for something has ended while a client waits for its answer.
+enum Waited<T> {
+    Done(T),
+    Left,
+    Answered(FixedResponse),
+    Overdue,
+}
+
+/// Waits for a part of an attempt while its client is there, has not been answered and has time left.
+async fn meanwhile<T>(
+    client: &TcpStream,
+    input: &mut Pooled,
+    early: bool,
+    (commands, limit): (&mut UnboundedReceiver<FlowCommand>, Instant),
+    work: impl Future<Output = T>,
+) -> Waited<T> {
+    let mut work = pin!(work);
+    loop {
+        tokio::select! {
+            biased;
+            () = gone(client, input, early) => return Waited::Left,
+            command = commands.recv() => match command {
+                Some(FlowCommand::Answer(response)) => return Waited::Answered(response),
+                None => return Waited::Left,
+                // Nothing else is for a flow whose attempt is out.
+                Some(_) => {}
+            },
+            done = &mut work => return Waited::Done(done),
+            () = sleep_until(limit) => return Waited::Overdue,
+        }
+    }
+}
+
+/// Connects to an attempt's streamer: where that is now, and the connection.
+async fn connect(shared: &Rc<Shared>, attempt: &Attempt) -> Result<(SocketAddr, TcpStream), Outcome> {
+    let address = shared.target_group.borrow().address(&attempt.target).ok_or(Outcome::NotSent)?;
+    let now = shared.clock.now();
+    let (left, begin) = (span(attempt.until - now), span(attempt.begin_by - now));
+    let limit = span(shared.config.borrow().settings.connect_timeout).min(left);
+    match timeout(limit.min(begin), TcpStream::connect(address)).await {
+        Ok(Ok(streamer)) => Ok((address, streamer)),
+        Ok(Err(e)) if local_shortage(&e) => Err(Outcome::NotSent),
+        // Too late to begin is no fault of the streamer's, which may be there a moment later.
+        Err(_) if begin < limit => Err(Outcome::NotSent),
+        Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
+    }
+}
+
+/// Whether an attempt may still begin, now that it is connected: much may have happened since it was decided. Its first
+/// byte is written in the same breath.
+fn may_begin(shared: &Shared, attempt: &Attempt, address: SocketAddr) -> Result<(), Outcome> {
+    let now = shared.clock.now();
+    let in_time = now < attempt.until.min(attempt.begin_by);
+    let there = shared.target_group.borrow().address(&attempt.target) == Some(address);
+    // What was ready and no longer is would get something new while it leaves. One that was leaving already gets back
+    // what it holds.
+    let leaves = attempt.was_ready && !shared.relay.borrow().is_ready(&attempt.target);
+    if in_time && there && !leaves { Ok(()) } else { Err(Outcome::NotSent) }
+}
+
+/// Asks a streamer that is connected: the connection with its first bytes for the client, or how the attempt ended.
+/// Dropped, it gives the attempt up.
+async fn exchange<F: Front>(
     shared: &Rc<Shared>,
     front: &mut F,
-    (target, address): (&ServerId, SocketAddr),
+    mut streamer: TcpStream,
     until: Millis,
 ) -> Result<(TcpStream, Pooled), Outcome> {
-    let ready = || shared.relay.borrow().is_ready(target);
-    let was_ready = ready();
-    let left = span(until - shared.clock.now());
-    let limit = span(shared.config.borrow().settings.connect_timeout);
-    let connect = timeout(limit.min(left), TcpStream::connect(address)).await;
-    let mut streamer = match connect {
-        Ok(Ok(streamer)) => streamer,
-        Ok(Err(e)) => {
-            return Err(if local_shortage(&e) { Outcome::NotSent } else { Outcome::ConnectFailed });
-        }
-        Err(_) => return Err(Outcome::ConnectFailed),
-    };
-    if was_ready && !ready() {
-        // The list has changed on the way: what begins now would be new to a streamer that leaves.
-        return Err(Outcome::NotSent);
-    }
     let _ = streamer.set_nodelay(true);
     if let Some(silence) = front.silence() {
         // Where it can't be set, a vanished streamer is noticed later.
@@ -536,7 +618,7 @@
     let (mut input, mut out) = (shared.pool.get(), shared.pool.get());
     front.forward(until - shared.clock.now(), &mut out);
     let mut whole = false;
-    let exchange = async {
+    let exchanged = async {
         loop {
             // Before the last byte is written nothing can have run there.
             let broken = |whole| if whole { Outcome::Reset } else { Outcome::ConnectFailed };
@@ -556,6 +638,6 @@
             }
         }
     };
-    timeout_at(shared.clock.at(until), exchange).await.unwrap_or(Err(Outcome::TimedOut))?;
+    timeout_at(shared.clock.at(until), exchanged).await.unwrap_or(Err(Outcome::TimedOut))?;
     Ok((streamer, input))
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,15 +1,18 @@
 //! Buffers of one size, used again.
 
 use std::cell::RefCell;
-use std::io;
+use std::io::{self, Read};
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
 
 use bytes::{Buf, BufMut, BytesMut};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 /// Size of a buffer: holds the longest line twice.
 pub const SIZE: usize = 8192;
+/// Most bytes that one look takes: mostly there are none.
+const LOOK: usize = 512;
 /// Most buffers kept for later.
 const KEPT: usize = 1024;
 
@@ -48,6 +51,20 @@
         }
     }
 
+    /// As [`Pooled::fill`], but asks the system itself: what the poller was told last may not have been heard yet.
+    pub fn look(&mut self, stream: &TcpStream) -> io::Result<Option<usize>> {
+        let mut bytes = [0; LOOK];
+        let room = self.room().min(LOOK);
+        match (&*SockRef::from(stream)).read(&mut bytes[..room]) {
+            Ok(n) => {
+                self.bytes.extend_from_slice(&bytes[..n]);
+                Ok(Some(n))
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
     /// Writes as much as a socket takes now.
     pub fn flush(&mut self, stream: &TcpStream) -> io::Result<()> {
         while !self.bytes.is_empty() {
@@ -86,3 +103,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -233,8 +233,8 @@
 
     fn obey(&mut self, at: usize, command: Command) {
         match command {
-            Command::Flow(id, FlowCommand::Forward { attempt, target, until }) => {
-                self.forward(at, id, attempt, target, until);
+            Command::Flow(id, FlowCommand::Forward(attempt)) => {
+                self.forward(at, id, attempt.number, attempt.target, attempt.until);
             }
             Command::Flow(id, FlowCommand::Answer(response)) => self.answer(at, id, response),
             Command::Flow(id, FlowCommand::Move) => {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -69,18 +69,26 @@
     Failed,
 }
 
+/// One attempt to place a flow.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Attempt {
+    /// Its number, from 0.
+    pub number: u32,
+    /// Where to.
+    pub target: ServerId,
+    /// Whether that was listed as ready when it was decided: then it must be ready still when the attempt begins.
+    pub was_ready: bool,
+    /// When to give it up.
+    pub until: Millis,
+    /// Before when its first byte has to be written, however long the connection takes to come up.
+    pub begin_by: Millis,
+}
+
 /// What a driver is to do for a flow.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FlowCommand {
     /// Start an attempt.
-    Forward {
-        /// Its number.
-        attempt: u32,
-        /// Where to.
-        target: ServerId,
-        /// When to give it up.
-        until: Millis,
-    },
+    Forward(Attempt),
     /// Give this final answer now, and give up the forward if one is out.
     Answer(FixedResponse),
     /// Tell the client of a standing flow to come again, and close both sides.
@@ -381,9 +389,10 @@
             Some(target) => {
                 flow.attempts = 1;
                 flow.stage = Stage::Forwarding(target.clone());
-                let forward =
-                    FlowCommand::Forward { attempt: 0, target: target.clone(), until: arrival.deadline };
-                self.commands.push(Command::Flow(id, forward));
+                let (until, was_ready) = (arrival.deadline, false);
+                let attempt =
+                    Attempt { number: 0, target: target.clone(), was_ready, until, begin_by: until };
+                self.commands.push(Command::Flow(id, FlowCommand::Forward(attempt)));
                 self.events.push_back(Event::Open { request, server: target });
             }
         }
@@ -737,7 +746,9 @@
 
     fn act(&mut self, now: Millis, action: Action) {
         match action {
-            Action::Send { request, server, until } => self.forward(request, server, until),
+            Action::Send { request, server, until, begin_by } => {
+                self.forward(request, server, (until, begin_by));
+            }
             Action::Refuse { request, retry_after } => {
                 if self.flows.get(&request).is_some_and(|f| f.attempts == 0) {
                     self.counted.refused(now);
@@ -756,7 +767,8 @@
         }
     }
 
-    fn forward(&mut self, id: FlowId, target: ServerId, until: Millis) {
+    fn forward(&mut self, id: FlowId, target: ServerId, (until, begin_by): (Millis, Millis)) {
+        let was_ready = self.is_ready(&target);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if flow.stage != Stage::Waiting || flow.answered || flow.attempts >= self.max_attempts {
             // The rules leave no room for it, whoever asks.
@@ -766,11 +778,12 @@
             self.events.push_back(Event::Ended { request: id, attempt, server: target, outcome, finished });
             return;
         }
-        let attempt = flow.attempts;
+        let number = flow.attempts;
         flow.attempts += 1;
         flow.stage = Stage::Forwarding(target.clone());
         self.targets.entry(target.clone()).or_default().forwards += 1;
-        self.commands.push(Command::Flow(id, FlowCommand::Forward { attempt, target, until }));
+        let attempt = Attempt { number, target, was_ready, until, begin_by };
+        self.commands.push(Command::Flow(id, FlowCommand::Forward(attempt)));
     }
 
     /// Gives a final answer, unless one was given.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -371,11 +371,12 @@
         // A class that the settings do not name may be of any kind.
         let repeat = self.class(&conn.request).map_or(Repeat::Unsafe, |c| c.repeat);
         let limit = conn.request.deadline;
-        let repeatable = match (repeat, &conn.ran) {
-            (_, None) | (Repeat::Safe, _) => true,
-            (Repeat::Keyed { window, .. }, Some((sent, ..))) => now + pause - sent < window,
-            (Repeat::Unsafe, Some(_)) => false,
+        let begin_by = match (repeat, &conn.ran) {
+            (_, None) | (Repeat::Safe, _) => f64::INFINITY,
+            (Repeat::Keyed { window, .. }, Some((sent, ..))) => sent + window,
+            (Repeat::Unsafe, Some(_)) => f64::NEG_INFINITY,
         };
+        let repeatable = now + pause < begin_by;
         let spent = conn.attempts > 0 && !affordable;
         // A refusal promises that a retry is harmless; any server may get that retry.
         let everywhere = matches!(repeat, Repeat::Safe | Repeat::Keyed { group: RepeatGroup::All, .. });
@@ -442,7 +443,7 @@
         }
         self.ledger.send(id, server.clone(), now);
         self.pace.sent(now, self.seed);
-        out.push(Action::Send { request: id, server, until: limit.min(now + patience) });
+        out.push(Action::Send { request: id, server, until: limit.min(now + patience), begin_by });
     }
 
     /// The final answer of a request that no server is to get.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -203,7 +203,7 @@
 
     fn check(&mut self, action: &Action) {
         match action {
-            Action::Send { request, server, until } => {
+            Action::Send { request, server, until, .. } => {
                 let ask = self.asks.get_mut(request).expect("a send for a request that was never given");
                 assert!(!ask.answered && !ask.over, "a send after the end");
                 assert!(ask.attempts.iter().all(|a| a.ended.is_some()), "two attempts at once");
@@ -1119,7 +1119,7 @@
         let id =
             relay.arrive(now.get(), Arrival { class: "safe".into(), client, deadline, ..Arrival::default() });
         let command = relay.take_commands().into_iter().find_map(|c| match c {
-            Command::Flow(of, FlowCommand::Forward { target, .. }) if of == id => Some(target),
+            Command::Flow(of, FlowCommand::Forward(attempt)) if of == id => Some(attempt.target),
             _ => None,
         });
         (id, command)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -719,7 +719,7 @@
 
 fn encode(who: &str, action: Action) -> Value {
     match action {
-        Action::Send { request, server, until } => json!(["DELIVER", who, request.0, &*server.0, until]),
+        Action::Send { request, server, until, .. } => json!(["DELIVER", who, request.0, &*server.0, until]),
         Action::Refuse { request, retry_after } => json!(["NOT_NOW", who, request.0, retry_after]),
         Action::Fail(request) => json!(["FAIL", who, request.0]),
         Action::Move(request) => json!(["MOVE", who, request.0]),
