Move the unit tests out of source files into test files

Seen: eleven source files held their tests inline (src/{forms,handover,operations, classes,advice}.rs, src/net/call.rs, and in crates rig, passed-socket and maintenance). Tests live in test files.

--- a/crates/maintenance/src/call.rs
+++ b/crates/maintenance/src/call.rs
@@ -95,35 +95,3 @@
     let seconds = text.parse::<f64>().ok().filter(|n| (0.0..=604_800.0).contains(n));
     seconds.map(|n| (n * 1000.0) as Moment).ok_or(Refused::Form)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_of_no_known_form_is_refused_as_such() {
-        for line in [
-            "window",
-            "window hall",
-            "window hall a",
-            "window hall a all",
-            "window hall a -1 60",
-            "window hall a nan 60",
-            "window hall a all 60 in",
-            "window hall a all 60 by",
-            "window hall a all 60 by x y",
-            "window relay x 60",
-            "window streamer s 1e9",
-            "extend 1.a",
-            "windows now",
-            "cancel",
-        ] {
-            assert_eq!(read(line), Some(Err(Refused::Form)), "{line}");
-        }
-        assert_eq!(read("done 1-2"), Some(Err(Refused::NoWindow)));
-        assert!(matches!(
-            read("window hall a 0.5 60 in 9 by eve"),
-            Some(Ok(Call::Window { after: 9000, .. }))
-        ));
-    }
-}
--- a/crates/maintenance/src/errors.rs
+++ b/crates/maintenance/src/errors.rs
@@ -89,16 +89,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn each_says_what_happened_and_what_to_do() {
-        for refused in Refused::ALL {
-            assert!(!refused.to_string().is_empty() && !refused.advice().is_empty(), "{refused:?}");
-            assert_ne!(refused.to_string(), refused.advice());
-        }
-    }
-}
--- /dev/null
+++ b/src/advice/tests.rs
@@ -0,0 +1,160 @@
+use std::fmt::Display;
+
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+
+use super::Advice;
+use crate::config::{Config, ConfigError, Fault, new_application};
+use crate::net::call::fetch;
+use crate::target_group::{ANSWER_BYTES, CallError, ListError, TargetGroup};
+use crate::wire::{Adapter, SettingFault, WireFault, settings};
+
+/// Errors as they come about: all cases of a kind are among them, each says what it is found by, and its row of
+/// the operators' page has that and its advice.
+fn all_named<E: Advice + Display>(errors: &[E]) {
+    let page = include_str!("../../docs/operators/errors.md");
+    for (said, advice) in E::ALL {
+        let known = errors.iter().any(|e| e.said() == *said && e.advice() == *advice);
+        assert!(known, "nothing brings {said:?} about");
+        let row = format!("| {advice} |");
+        let named = page.lines().any(|l| l.contains(&format!("`{said}`")) && l.ends_with(&row));
+        assert!(named, "the page does not name {said:?}, or has not: {advice}");
+    }
+    for e in errors {
+        assert!(e.to_string().contains(e.said()), "{e} does not say {:?}", e.said());
+    }
+}
+
+fn list(asked: &[&str]) -> ListError {
+    let mut group = TargetGroup::default();
+    let answers = asked.iter().map(|body| {
+        group.request();
+        group.answer(body.as_bytes())
+    });
+    answers.last().expect("an answer").expect_err("a faulty list")
+}
+
+fn member(text: &str) -> ListError {
+    list(&[&format!(r#"{{"revision":1,"complete":true,"members":[{{{text}}}]}}"#)])
+}
+
+#[test]
+fn each_fault_of_a_list_has_its_advice() {
+    let held = r#"{"revision":5,"complete":true,"members":[]}"#;
+    let changes = r#"{"revision":4,"complete":false,"members":[]}"#;
+    let unasked = TargetGroup::default().answer(b"{}").expect_err("an answer that nobody asked for");
+    all_named(&[
+        list(&["<html>"]),
+        list(&["{}"]),
+        list(&[changes]),
+        list(&[held, changes]),
+        unasked,
+        member(r#""id":7"#),
+        member(r#""id":"s-1","phase":"ready""#),
+        member(r#""id":"s-1","phase":"Ready","host_port":"here""#),
+        member(r#""id":"s-1","phase":"Gone","size":-1"#),
+    ]);
+}
+
+#[test]
+fn each_fault_of_a_call_has_its_advice() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let answer = |bytes: &[u8]| {
+        let (end, mut service) = tokio::io::duplex(1 << 16);
+        let served = async move {
+            // Who has heard enough hangs up.
+            let _ = service.write_all(bytes).await;
+            let _ = service.shutdown().await;
+            service
+        };
+        let heard = runtime.block_on(async { tokio::join!(fetch(end, "d", "/v1/endpoints"), served).0 });
+        heard.expect_err("a faulty answer")
+    };
+    let long = [b"HTTP/1.1 200 OK\r\n\r\n".as_slice(), &[b' '; ANSWER_BYTES + 1]].concat();
+    let chunk = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n";
+    let short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{";
+    assert!(matches!(answer(chunk.as_bytes()), CallError::NotHttp(_)));
+    assert!(matches!(answer(short.as_bytes()), CallError::Cut("body")));
+    all_named(&[
+        CallError::Io(std::io::Error::from_raw_os_error(111)),
+        CallError::Late,
+        answer(b"SSH-2.0\r\n"),
+        answer(b"HTTP/1.1 503 Busy\r\n\r\n"),
+        answer(b"HTTP/1.1 200 OK\r\n"),
+        answer(&long),
+    ]);
+}
+
+#[test]
+fn each_fault_of_a_configuration_has_its_advice() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let app = folder.path().join("app.toml");
+    let load = |text: &str| {
+        std::fs::write(&app, text).expect("a file");
+        Config::load(&[].into(), Some(&app))
+    };
+    let whole = include_str!("../application.toml");
+    let running = load(whole).expect("the template");
+    let told = |faults: Result<Config, Vec<ConfigError>>| faults.expect_err("faults");
+    let failed = |fault: Fault| {
+        let key = if matches!(fault, Fault::Start(_)) { ("relay", "start") } else { ("f", "state.folder") };
+        ConfigError { file: key.0.into(), key: key.1.into(), fault }
+    };
+    let many = "relay = 5\nstate = {folder=\"\"}\n[limits]\nsockets = 1\n[rtmp]\ntrusted = 1\nclass = \"no\"\n\
+                listen = 1\nspeed = 1\n[snmp]\nlisten = \"10.0.0.1:1\"\n[settings]\nlanes = [{name = \"a\"}]\n";
+    let added = "[shares]\nenforce = true\n[forms]\nmost = 1.5\n[maintenance]\n\
+                 lease_s = 10\nclock_bound_ms = 9000\nvoters = [99]\n";
+    let more = "[relay]\nhandover = \"here\"\ndiscovery = \"there\"\n[state]\nfolder = \"f\"\n";
+    let platform = folder.path().join("config.json");
+    let base = |text: &str| {
+        std::fs::write(&platform, text).expect("a file");
+        Config::load(&[("PROXY_CONFIG".into(), platform.display().to_string())].into(), None)
+    };
+    let mut all = told(Config::load(&[].into(), None));
+    all.extend(told(Config::load(&[].into(), Some(&folder.path().join("none")))));
+    all.extend([many, more, added, "[relay", ""].map(|text| told(load(text))).into_iter().flatten());
+    all.extend(["[]", r#"{"seed":"x"}"#].map(|text| told(base(text))).into_iter().flatten());
+    let cut = whole.trim_end().rsplit_once('\n').expect("lines").0;
+    all.extend(told(load(cut).and_then(|new| running.whole(new))));
+    all.extend(["app", "app", "A"].iter().filter_map(|name| new_application(folder.path(), name).err()));
+    let form = sandgw_forms::Form::new(99).expect_err("no form");
+    all.push(ConfigError { file: "f".into(), key: "forms.most".into(), fault: Fault::Forms(form) });
+    all.push(ConfigError { file: "f".into(), key: "maintenance.floor".into(), fault: Fault::NoMessages });
+    all.push(failed(Fault::Start(std::io::Error::from_raw_os_error(98))));
+    all.push(failed(Fault::Folder("another process has the store open".into())));
+    all_named(&all);
+}
+
+#[test]
+fn each_fault_of_the_settings_has_its_advice() {
+    let faults = |boot: Value| settings(&boot).expect_err("faults").into_iter().map(|e| e.fault);
+    let wrong = json!({"limits": 1, "discovery": "no", "nInstances": 1.5, "resolutionMs": -1,
+        "domain": {"messageAimMs": 1}, "lanes": [{"semantics": "keyed"}]});
+    let limits = json!({"limits": {"retryAfter": 1}, "rules": {"spareAttempts": -1}, "realms": [{}]});
+    all_named::<SettingFault>(&faults(wrong).chain(faults(limits)).collect::<Vec<_>>());
+}
+
+#[test]
+fn each_fault_of_the_wire_has_its_advice() {
+    let round = r#"["ROUND",1.0,1]"#;
+    let start = r#"["START","b",1,{}]"#;
+    let mut ended = Adapter::new();
+    ended.line(round).expect("a round");
+    let mut all = vec![ended.end().expect_err("an end in a round").what];
+    for last in [
+        "no",
+        "5",
+        round,
+        r#"["START","b",1,5]"#,
+        r#"["EXPIRED","c",1]"#,
+        r#"["WHISPER","b",1]"#,
+        r#"["EXPIRED","b"]"#,
+        r#"["EXPIRED","b","x"]"#,
+        r#"["MEMBERSHIP","b",0,2,[5]]"#,
+    ] {
+        let mut adapter = Adapter::new();
+        let read = [round, start, last].map(|line| adapter.line(line));
+        all.extend(read.into_iter().filter_map(Result::err).map(|e| e.what));
+    }
+    all_named::<WireFault>(&all);
+}
