Ask discovery again within two seconds of a failed call, and at once after a broken watch

Seen: after an outage a lone relay or a handful had the list up to 13 s after the service was back, 15.4 s where calls were out that nobody would answer. A change counts as told 6 s after discovery had it and could be reached.

Ruled out: the connect is within the call's time-out, and so is a body that trickles for ever; an answer that is indented, has no length, a wrong length or a second answer behind it is taken or refused whole and the next call works; a service that moves while a call is out, right as it answers, or twice at once is asked at its last place.

At fault: `Asking::failed` let pauses grow to 16 to 32 times the first, bounded by the settings only; and `discovery::watch` spared a watch only that fell silent, one that was reset, cut or answered 503 went through the module's pause.

Change: a relay's own pause is 2 s at the most (1 to 2 s, drawn, so that relays don't come in step): with a call that holds out for 2.5 s there is time left for the answer. A watch that was going on and broke in whatever way is asked anew at once in a small tier, within 3.5 s in a large one; not twice within 3 s, since a service that answers calls and breaks every watch would be asked without end.

Not held by this: tiers above eight relays, where discovery's rate bounds the calls.

--- a/crates/tier/src/asking.rs
+++ b/crates/tier/src/asking.rs
@@ -44,11 +44,15 @@
 /// Most time for each call, however slow the service is: what a tier asks of one that never answers is bounded,
 /// whatever its size.
 const SLOWEST: Millis = 150.0;
-/// Longest pause of one relay's own after failures, as a multiple of the first.
-const LONGEST: f64 = 16.0;
-/// Time over which a tier spreads its calls after watches have fallen silent, at the most, and for each relay.
+/// Longest pause of one relay's own after failures. A change counts as told 6 s after discovery had it and could be
+/// reached: a call that was out when discovery came back may hold out for another 2.5 s, then comes this pause, and
+/// the answer takes its time too.
+const LONGEST: Millis = 2000.0;
+/// Time over which a tier spreads its calls after watches have fallen silent, at the most, and for each relay. Silence
+/// is noticed seconds late; a watch that was reset or turned away shows at once, and there is more time.
 const SILENT: Millis = 1500.0;
-const SILENT_EACH: Millis = 20.0;
+const BROKEN: Millis = 3500.0;
+const SPREAD_EACH: Millis = 20.0;
 
 /// In how long to ask anew after a watch has fallen silent: what it has missed counts as told soon, so this is far
 /// less than a pause after a failure. `draw` is from 0 to 1, drawn anew.
@@ -60,7 +64,24 @@
 /// assert!(silent(300, 0.1) < silent(300, 0.9) && silent(300, 1.0) <= 1500.0);
 /// ```
 pub fn silent(relays: u32, draw: f64) -> Millis {
-    if relays > ALL_TOLD { draw * (SILENT_EACH * f64::from(relays)).min(SILENT) } else { 0.0 }
+    spread(relays, draw, SILENT)
+}
+
+/// In how long to ask anew after a watch that had been going on was reset, cut or turned away. Only if that call fails
+/// too, discovery is taken for down or overrun. `draw` as in [`silent`].
+///
+/// ```
+/// use sandgw_tier::asking::broken;
+///
+/// assert_eq!(broken(4, 0.9), 0.0, "a handful asks at once");
+/// assert!(broken(100, 1.0) <= 2000.0 && broken(300, 1.0) <= 3500.0);
+/// ```
+pub fn broken(relays: u32, draw: f64) -> Millis {
+    spread(relays, draw, BROKEN)
+}
+
+fn spread(relays: u32, draw: f64, most: Millis) -> Millis {
+    if relays > ALL_TOLD { draw * (SPREAD_EACH * f64::from(relays)).min(most) } else { 0.0 }
 }
 
 /// Among whom a relay asks, and what the settings say of it.
@@ -137,7 +158,7 @@
     /// A call has failed, or a watch was broken off. Jittered, so that relays turned away together do not come back
     /// together.
     pub fn failed(&mut self, now: Millis, tier: &Among, out: &mut Sends) {
-        let own = tier.step * LONGEST.min(2_f64.powi(self.failed)) * (1.0 + self.draw());
+        let own = (tier.step * 2_f64.powi(self.failed)).min(LONGEST / 2.0) * (1.0 + self.draw());
         self.failed = self.failed.saturating_add(1);
         if let Some(called) = self.called.take() {
             let took = if now - called < QUICK { DOWN } else { TURNED_AWAY };
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,9 +9,13 @@
 use super::call::fetch;
 use super::{Shared, span};
 use crate::advice::Advice;
-use crate::interface::{Discovery, ListKind, ServerEntry};
+use crate::interface::{Discovery, ListKind, Millis, ServerEntry};
 use crate::target_group::{CallError, RETRY};
 
+/// Least time between two watches that are followed by another call without the module's pause. A service that answers
+/// calls and breaks every watch would be asked without end.
+const ANEW_EVERY: Millis = 3000.0;
+
 /// Watches whenever the module asks for it, until a call fails; and at once where discovery has moved. Where lists are
 /// pushed the module asks for nothing: an agent on this machine has what was sent to it, and is watched all the time.
 pub async fn watch(shared: Rc<Shared>) {
@@ -19,6 +23,7 @@
     if pushed() {
         shared.watch.notify_one();
     }
+    let mut anew = f64::NEG_INFINITY;
     loop {
         let mut moved = tokio::select! {
             () = shared.watch.notified() => false,
@@ -59,10 +64,13 @@
                         tokio::time::sleep(span(RETRY)).await;
                         continue;
                     }
-                    if going && matches!(e, CallError::Late) {
-                        // The service may be well: what the silence hides counts as told soon.
+                    // One that fell silent has taken its time already.
+                    let (now, silent) = (shared.clock.now(), matches!(e, CallError::Late));
+                    if going && (silent || now - anew > ANEW_EVERY) {
+                        // The service may be well: what a silent or broken watch hides counts as told soon.
+                        anew = now;
                         let relays = shared.config.borrow().settings.balancers;
-                        let pause = span(shared.target_group.borrow_mut().anew(relays));
+                        let pause = span(shared.target_group.borrow_mut().anew(relays, silent));
                         tokio::select! {
                             () = shared.moved.notified() => moved = true,
                             () = tokio::time::sleep(pause) => {}
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -951,7 +951,7 @@
         assert!(!group.request().contains("wait_ms=0"));
         let silent = group.timeout();
         assert!(group.broken(), "a watch that had been going on is broken");
-        let again = silent + group.anew(300);
+        let again = silent + group.anew(300, true);
         assert!(group.request().ends_with("wait_ms=0") && group.timeout() <= 2_500.0);
         latest = latest.max(again);
         noticed.insert((again / 100.0) as u64);
--- a/src/target_group.rs
+++ b/src/target_group.rs
@@ -212,9 +212,10 @@
         !std::mem::replace(&mut self.unconfirmed, self.revision.is_some()) && self.revision.is_some()
     }
 
-    /// In how long to ask anew after a watch has fallen silent, in a tier of so many relays.
-    pub fn anew(&mut self, relays: u32) -> Millis {
-        asking::silent(relays, self.draw())
+    /// In how long to ask anew after a watch has fallen silent, or was broken otherwise, in a tier of so many relays.
+    pub fn anew(&mut self, relays: u32, silent: bool) -> Millis {
+        let draw = self.draw();
+        if silent { asking::silent(relays, draw) } else { asking::broken(relays, draw) }
     }
 
     fn draw(&mut self) -> f64 {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -79,6 +79,10 @@
         self.list.0.lock().unwrap().down = down;
     }
 
+    pub fn revision(&self) -> u64 {
+        self.list.0.lock().unwrap().revision
+    }
+
     pub fn json(&self, after: u64) -> String {
         let list = self.list.0.lock().unwrap();
         let members = list.members.values().filter(|(_, r)| *r > after).map(|(e, _)| e.as_str());
