Let what a streamer or client said last arrive before its reset, move or close

Seen on the untouched code, each forced with the relay stopped until both events had arrived (tests/closes.rs, tests/rtmp.rs): a streamer's MOVE or BYE followed by a reset ended in a reset of the client, and was lost with it where a line of the client's was written first; so were whole lines before a reset; a client slow to read lost the rest, BYE too, when it sent on to a streamer that had ended in order; a move in the middle of a streamer's line, or of a streamer that hung in one, cut the client off without MOVE; a move dropped the streamer over unread bytes, and the client's last line with it; a BYE that had arrived went unheard for a MOVE; a client that left at BYE before its streamer did counted as cancelled; one told to make room over an unread request was reset; a flood was reset at 64 KiB, right behind its answer.

Ruled out: loss in the kernel. Bytes that came before a reset are still read on Linux. That the timer of a move runs before the poller has looked was seen in trials of the mend: after SIGCONT a look without a turn of the driver found nothing, so a move yields once first.

At fault in src/net/flow.rs: `stand`, `up.flush(..).is_err()` and the failed read (reset of the client at once), the `HALF_OPEN` return and `drop(streamer)` when moving; the `room` branch of `serve`; the end of `close` at `LINGER_BYTES`.

Change: a broken streamer is read to its end, and the client's side then ends as announced, else by a reset. Half a line of the streamer is held until it is whole (`Front::held`), so a move always finds its place. What has arrived goes before the relay's own word (`Front::announced`). A streamer that is left is sent the end and read out beside the client's linger. Who makes room is read out without a wait; past 64 KiB a flood is read no further, but closed only after `LINGER`.

--- a/src/front/line.rs
+++ b/src/front/line.rs
@@ -302,6 +302,11 @@
         Some(self.partial)
     }
 
+    fn held(&self) -> usize {
+        // What is too long for a line is passed on as it comes.
+        if self.partial < LINE_BYTES { self.partial } else { 0 }
+    }
+
     fn unanswered_since(&self) -> Option<Millis> {
         self.asked
     }
@@ -322,7 +327,7 @@
         reply.extend_from_slice(b"MOVE\r\n");
     }
 
-    fn streamer_end(&self) -> Outcome {
-        self.announced.unwrap_or(Outcome::Reset)
+    fn announced(&self) -> Option<Outcome> {
+        self.announced
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod line;
 pub mod rtmp;
+#[cfg(test)]
+mod tests;
 
 use std::time::Duration;
 
@@ -105,6 +107,12 @@
     /// such places are known.
     fn partial(&self) -> Option<usize>;
 
+    /// How many of the streamer's last bytes are no whole message yet and better wait for the rest of it: the relay may
+    /// put in a message of its own before them, and a streamer that breaks leaves nothing half said.
+    fn held(&self) -> usize {
+        0
+    }
+
     /// Since when a client's message is without an answer.
     fn unanswered_since(&self) -> Option<Millis>;
 
@@ -121,6 +129,11 @@
         None
     }
 
+    /// What the streamer's last whole message says of the connection's end, if it does.
+    fn announced(&self) -> Option<Outcome>;
+
     /// What it means that the streamer has now ended the connection in good order.
-    fn streamer_end(&self) -> Outcome;
+    fn streamer_end(&self) -> Outcome {
+        self.announced().unwrap_or(Outcome::Reset)
+    }
 }
--- a/src/front/rtmp/mod.rs
+++ b/src/front/rtmp/mod.rs
@@ -9,6 +9,8 @@
 
 mod chunks;
 mod proxy;
+#[cfg(test)]
+mod tests;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -371,6 +373,10 @@
         }
     }
 
+    fn announced(&self) -> Option<Outcome> {
+        self.streamer_moves.then_some(Outcome::Cancelled)
+    }
+
     fn streamer_end(&self) -> Outcome {
         match &self.down {
             _ if self.streamer_moves => Outcome::Cancelled,
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -1,6 +1,7 @@
 //! Drives one client's connection and its streamer's: through placing, forwards and standing.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd;
 use std::pin::pin;
@@ -29,7 +30,11 @@
 /// Most that a client may go on sending after its last word before it is cut off, which is all the same to one
 /// that sends at full speed what nobody reads.
 const LINGER_BYTES: usize = 64 * 1024;
-/// How long one side may go on after the other has ended.
+/// Most that is read of a streamer that was left.
+const LEFT_BYTES: usize = 1024 * 1024;
+/// Most that is read at once of a connection that has to make room.
+const UNREAD: usize = 4096;
+/// How long one side may go on after the other has ended, or take nothing of what the other has left it.
 const HALF_OPEN: Duration = Duration::from_secs(3);
 /// A streamer that has left a message unanswered for so long is silent: it has vanished, and its client is
 /// told to move. The rules want that within 7 s of the silence, and clients speak only every 2 s.
@@ -55,7 +60,7 @@
             if !session.answered {
                 session.front.fixed(FixedResponse::Busy(session.shared.retry_after()), &mut session.reply);
             }
-            session.reply.flush(&session.client)
+            session.make_room()
         }
         ended = session.run(accepted) => ended,
     };
@@ -257,23 +262,40 @@
     async fn close(&mut self) -> io::Result<()> {
         self.seat.answered();
         self.answered = true;
-        if self.front.resets() {
-            return reset(&self.client);
-        }
-        timeout(LINGER, self.client.write_all_buf(&mut *self.reply)).await??;
-        self.client.shutdown().await?;
-        let drained = async {
-            let mut read = 0;
-            while read < LINGER_BYTES {
-                self.input.clear();
-                match more(&self.client, &mut self.input).await? {
-                    0 => break,
-                    n => read += n,
-                }
+        last_word(&self.client, &self.front, &mut self.input, &mut self.reply).await
+    }
+
+    /// Writes the last word and closes at once: somebody else waits for the descriptor. What has come by now is read
+    /// all the same, and is answered by that word.
+    fn make_room(&mut self) -> io::Result<()> {
+        self.reply.flush(&self.client)?;
+        let client = SockRef::from(&self.client);
+        client.shutdown(Shutdown::Write)?;
+        let mut read = 0;
+        while read < LINGER_BYTES {
+            match client.recv(&mut [MaybeUninit::uninit(); UNREAD]) {
+                Ok(n) if n > 0 => read += n,
+                _ => break,
             }
-            io::Result::Ok(())
+        }
+        Ok(())
+    }
+
+    /// Ends a flow whose client's last word is in the reply. Its streamer's connection is read to its end as well: a
+    /// reset would take along what the client has sent just before.
+    async fn leave(&mut self, streamer: TcpStream) -> io::Result<()> {
+        self.answered = true;
+        let Session { client, front, input, reply, seat, shared, .. } = self;
+        let mut rest = shared.pool.get();
+        let let_go = async move {
+            // It fails only where the streamer has ended as well.
+            let _ = SockRef::from(&streamer).shutdown(Shutdown::Write);
+            read_out(&streamer, &mut rest, LEFT_BYTES).await;
+            drop(streamer);
+            seat.answered();
         };
-        timeout(LINGER, drained).await?
+        let (ended, ()) = tokio::join!(last_word(client, front, input, reply), let_go);
+        ended
     }
 
     /// Gives the flow to the process that serves now, with descriptors of its own; whether it could.
@@ -292,6 +314,13 @@
         self.shared.passing.0.send((message, [client, streamer])).is_ok()
     }
 
+    /// Takes what the client of a standing flow has to say; whether there was anything.
+    fn listen(&mut self, up: &mut Pipe) -> io::Result<bool> {
+        let n = up.fill(&self.client, &self.shared)?;
+        self.front.client_sent(self.shared.clock.now(), up.last(n));
+        Ok(n > 0 || up.eof)
+    }
+
     /// Passes everything on, both ways, until both sides have ended.
     async fn stand(
         &mut self,
@@ -307,89 +336,131 @@
             debug!("flow {}: stood, {outcome:?}", id.0);
             shared.core(|relay, now| relay.ended(now, id, outcome));
         };
+        // Takes what the streamer has to say; whether there was anything. Where it has broken the connection, all that it
+        // had said before was read by then.
+        let hear = |front: &mut F, down: &mut Pipe, broken: &mut bool| {
+            let n = down.fill(&streamer, &shared).unwrap_or_else(|_| {
+                (*broken, down.eof) = (true, true);
+                0
+            });
+            if let Some(trip) = front.streamer_sent(shared.clock.now(), down.last(n)) {
+                shared.core(|relay, _| relay.round_trip(id, trip));
+            }
+            n > 0 || down.eof
+        };
         let mut slow = Slow::default();
         let mut half_open = None;
         let mut moving: Option<(Outcome, Instant)> = None;
+        // The streamer's connection was reset. What it had said before is still to be read and passed on.
+        let mut broken = false;
+        // The core knows how the streamer's connection has ended.
+        let mut told = false;
         loop {
-            if up.flush(&streamer).is_err() {
-                ended(Outcome::Reset);
-                return reset(&self.client);
+            let before = (up.len(), down.len());
+            if up.flush(&streamer, 0).is_err() {
+                up.cut();
+                broken |= !down.eof;
             }
-            if down.flush(&self.client).is_err() {
-                ended(Outcome::Cancelled);
-                return reset(&streamer);
+            let announced = self.front.announced();
+            if down.eof && !told {
+                // Known at once, however long the client takes to end its side.
+                told = true;
+                ended(match announced {
+                    Some(outcome) => outcome,
+                    None if broken => Outcome::Reset,
+                    None if up.eof => Outcome::Cancelled,
+                    None => self.front.streamer_end(),
+                });
             }
-            if up.ends_now(&streamer) || down.ends_now(&self.client) {
-                half_open.get_or_insert_with(|| Instant::now() + HALF_OPEN);
+            // The streamer's own word goes before the relay's.
+            moving = moving.filter(|_| !down.eof || announced.is_none());
+            let held = if down.eof && !broken && moving.is_none() { 0 } else { self.front.held() };
+            if down.flush(&self.client, held).is_err() {
+                ended(announced.unwrap_or(Outcome::Cancelled));
+                return reset(&streamer);
             }
+            let in_order = moving.is_none() && !broken;
+            let ends = in_order && (up.ends_now(&streamer) | down.ends_now(&self.client));
             if up.shut && down.shut {
                 return Ok(());
             }
+            let over = down.shut && up.cut || broken && down.eof && down.len() <= held && moving.is_none();
+            if over || half_open.is_some_and(|at| Instant::now() >= at) {
+                // The client's side ends the way that the streamer's was announced to end, or did.
+                if broken && announced.is_none() {
+                    return reset(&self.client);
+                }
+                return self.leave(streamer).await;
+            }
+            let one_sided = up.eof || down.eof || broken;
+            let takes = up.eof && up.len() < before.0 || (down.eof || broken) && down.len() < before.1;
+            if ends || takes || one_sided && half_open.is_none() {
+                half_open = Some(Instant::now() + HALF_OPEN);
+            }
             if let Some((outcome, limit)) = moving {
+                // What has arrived by now goes first.
+                if Instant::now() < limit {
+                    let client = if up.takes() { self.listen(&mut up) } else { Ok(false) };
+                    let Ok(client) = client else {
+                        ended(announced.unwrap_or(Outcome::Cancelled));
+                        return reset(&streamer);
+                    };
+                    let said = down.takes() && hear(&mut self.front, &mut down, &mut broken);
+                    if client || said {
+                        tokio::task::yield_now().await;
+                        continue;
+                    }
+                }
                 let whole = self.front.partial().and_then(|partial| down.len().checked_sub(partial));
                 if whole.is_some() || Instant::now() >= limit {
-                    ended(outcome);
-                    drop(streamer);
+                    ended(announced.unwrap_or(outcome));
                     if let Some(whole) = whole {
                         // What the streamer has begun to say is left out: it can't end any more.
                         self.reply.extend_from_slice(&down.bytes()[..whole]);
-                        self.front.moved(&mut self.reply);
+                        if announced.is_none() {
+                            self.front.moved(&mut self.reply);
+                        }
                     }
-                    return self.close().await;
+                    return self.leave(streamer).await;
                 }
             }
-            let waits = down.len() == 0 && !up.eof && !down.eof;
+            let waits = down.len() <= held && !one_sided;
             let unanswered = self.front.unanswered_since().filter(|_| waits);
             let slow_at = slow.next(unanswered).map(|at| shared.clock.at(at));
             let limit = moving.map(|(_, limit)| limit);
             let wake = [half_open, slow_at, limit].into_iter().flatten().min();
             tokio::select! {
                 ready = self.client.readable(), if up.takes() => {
-                    let read = ready.and_then(|()| up.fill(&self.client, &shared));
-                    match read {
-                        Ok(n) => self.front.client_sent(shared.clock.now(), up.last(n)),
-                        Err(_) => {
-                            ended(Outcome::Cancelled);
-                            return reset(&streamer);
-                        }
+                    if ready.and_then(|()| self.listen(&mut up)).is_err() {
+                        ended(announced.unwrap_or(Outcome::Cancelled));
+                        return reset(&streamer);
                     }
                 }
-                ready = streamer.readable(), if down.takes() => {
-                    let read = ready.and_then(|()| down.fill(&streamer, &shared));
-                    let Ok(n) = read else {
-                        ended(Outcome::Reset);
-                        return reset(&self.client);
-                    };
-                    if let Some(trip) = self.front.streamer_sent(shared.clock.now(), down.last(n)) {
-                        shared.core(|relay, _| relay.round_trip(id, trip));
-                    }
-                    if down.eof {
-                        // Known at once, however long the client takes to end its side.
-                        ended(if up.eof { Outcome::Cancelled } else { self.front.streamer_end() });
-                    }
+                _ = streamer.readable(), if down.takes() => {
+                    hear(&mut self.front, &mut down, &mut broken);
                 }
-                _ = self.client.writable(), if down.len() > 0 => {}
+                _ = self.client.writable(), if down.len() > held => {}
                 _ = streamer.writable(), if up.len() > 0 => {}
                 command = commands.recv(), if moving.is_none() => match command {
                     Some(FlowCommand::Move) if !down.eof => {
                         moving = Some((Outcome::Cancelled, Instant::now() + BOUNDARY));
+                        // What has arrived is known only once the driver has looked.
+                        tokio::task::yield_now().await;
                     }
                     // One that is ending ends here.
-                    Some(FlowCommand::Pass) if !down.eof && !up.eof && self.pass(id, &streamer, &up, &down) => {
+                    Some(FlowCommand::Pass) if !one_sided && self.pass(id, &streamer, &up, &down) => {
                         return Ok(());
                     }
                     _ => {}
                 },
                 () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {
-                    if half_open.is_some_and(|at| Instant::now() >= at) {
-                        return Ok(());
-                    }
                     let now = shared.clock.now();
                     if let Some(age) = unanswered.map(|since| now - since).filter(|_| slow.due(now)) {
                         shared.core(|relay, _| relay.round_trip(id, age));
                         if age >= SILENCE && moving.is_none() {
                             debug!("flow {}: its streamer is silent", id.0);
                             moving = Some((Outcome::Reset, Instant::now() + BOUNDARY));
+                            tokio::task::yield_now().await;
                         }
                     }
                 }
@@ -440,11 +511,13 @@
     buffer: Option<Pooled>,
     eof: bool,
     shut: bool,
+    /// The receiver takes nothing any more.
+    cut: bool,
 }
 
 impl Pipe {
     fn with(buffer: Pooled) -> Self {
-        Pipe { buffer: Some(buffer), eof: false, shut: false }
+        Pipe { buffer: Some(buffer), eof: false, shut: false, cut: false }
     }
 
     fn bytes(&self) -> &[u8] {
@@ -461,7 +534,12 @@
     }
 
     fn takes(&self) -> bool {
-        !self.eof && self.buffer.as_ref().is_none_or(|b| b.room() > 0)
+        !self.eof && !self.cut && self.buffer.as_ref().is_none_or(|b| b.room() > 0)
+    }
+
+    fn cut(&mut self) {
+        self.cut = true;
+        self.buffer = None;
     }
 
     fn fill(&mut self, from: &TcpStream, shared: &Shared) -> io::Result<usize> {
@@ -471,9 +549,10 @@
         Ok(read.unwrap_or(0))
     }
 
-    fn flush(&mut self, to: &TcpStream) -> io::Result<()> {
+    /// Passes on what the receiver takes now, but for so many bytes at the end.
+    fn flush(&mut self, to: &TcpStream, held: usize) -> io::Result<()> {
         let Some(buffer) = &mut self.buffer else { return Ok(()) };
-        buffer.flush(to)?;
+        buffer.flush_but(to, held)?;
         if buffer.is_empty() {
             self.buffer = None;
         }
@@ -482,7 +561,7 @@
 
     /// Ends the sending to the receiver once the sender has ended and all is passed on.
     fn ends_now(&mut self, to: &TcpStream) -> bool {
-        let now = self.eof && !self.shut && self.len() == 0;
+        let now = self.eof && !self.shut && !self.cut && self.len() == 0;
         if now {
             self.shut = true;
             // It fails only where the receiver has ended as well.
@@ -497,6 +576,46 @@
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
+/// What is left to do for a client once its answer is in the reply: what it sends is read to its end, for a while, or the
+/// close would be a reset that may take the answer along. Nothing of it is understood any more.
+async fn last_word<F: Front>(
+    client: &TcpStream,
+    front: &F,
+    input: &mut Pooled,
+    reply: &mut Pooled,
+) -> io::Result<()> {
+    if front.resets() {
+        return reset(client);
+    }
+    let written = async {
+        while !reply.is_empty() {
+            client.writable().await?;
+            reply.flush(client)?;
+        }
+        io::Result::Ok(())
+    };
+    timeout(LINGER, written).await??;
+    SockRef::from(client).shutdown(Shutdown::Write)?;
+    read_out(client, input, LINGER_BYTES).await;
+    Ok(())
+}
+
+/// Reads what nobody wants any more until the connection's end, for a while: so many bytes, and then it waits only.
+async fn read_out(stream: &TcpStream, buffer: &mut Pooled, most: usize) {
+    let to_end = async {
+        let mut read = 0;
+        while read < most {
+            buffer.clear();
+            match more(stream, buffer).await {
+                Ok(n) if n > 0 => read += n,
+                _ => return,
+            }
+        }
+        std::future::pending().await
+    };
+    let _ = timeout(LINGER, to_end).await;
+}
+
 /// What the log says of a flow that arrives.
 fn described(a: &Arrival) -> String {
     let key = |key: &Option<Key>| key.as_ref().map_or("-".into(), |k| k.0.clone());
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -67,8 +67,13 @@
 
     /// Writes as much as a socket takes now.
     pub fn flush(&mut self, stream: &TcpStream) -> io::Result<()> {
-        while !self.bytes.is_empty() {
-            match stream.try_write(&self.bytes) {
+        self.flush_but(stream, 0)
+    }
+
+    /// The same, but keeps so many bytes at the end.
+    pub fn flush_but(&mut self, stream: &TcpStream, kept: usize) -> io::Result<()> {
+        while self.bytes.len() > kept {
+            match stream.try_write(&self.bytes[..self.bytes.len() - kept]) {
                 Ok(n) => self.bytes.advance(n),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -299,8 +299,13 @@
     /// Whether the process has ended.
     pub fn has_ended(&self) -> bool {
         // Nobody has waited for it yet: its state is Z.
+        self.state() == 'Z'
+    }
+
+    /// The process's state, as the kernel has it.
+    fn state(&self) -> char {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
-        stat.rsplit(')').next().unwrap().trim_start().starts_with('Z')
+        stat.rsplit(')').next().unwrap().trim_start().chars().next().unwrap()
     }
 
     pub fn client(&self) -> Client {
@@ -344,6 +349,12 @@
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
+    /// Stops the process until `CONT`; returns when it has stopped.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        until("it has stopped", || self.state() == 'T');
+    }
+
     /// Asks the process to end, as a planned restart does.
     pub fn terminate(&self) {
         self.signal("TERM");
--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -297,6 +297,44 @@
     assert!(answer.starts_with("_result") && client.told().starts_with('('));
 }
 
+/// A streamer asks its client to reconnect and is reset: the word arrives, and the client's side ends in order. It was
+/// reset as well, and the word went with it where the client sent something just then.
+#[test]
+fn a_request_to_reconnect_before_a_reset_reaches_the_client() {
+    let _alone = alone();
+    for resets_alone in [true, false] {
+        let sender = Streamer::start(|stream, log| {
+            let mut peer = Peer::new(stream, PeerType::Server, Duration::ZERO).unwrap();
+            let _ = peer.receive();
+            peer.command("_result", 1.0, Amf0Value::Null, Vec::new());
+            // It goes on once the client has sent a message, and the relay has stopped.
+            let _ = peer.receive();
+            until("the relay has stopped", || log.lock().unwrap().len() > 0);
+            let code = information(&[("code", "NetConnection.Connect.ReconnectRequest")]);
+            peer.command("onStatus", 0.0, Amf0Value::Null, code);
+            socket2::SockRef::from(&peer.stream).set_linger(Some(Duration::ZERO)).unwrap();
+            drop(peer);
+            note(log, "reset");
+        });
+        let log = sender.log.clone();
+        let (_discovery, relay) = fleet(&[sender]);
+        let (mut client, answer) = Peer::open(&relay, "vod/1", &[]);
+        assert!(answer.starts_with("_result"), "{answer}");
+        assert!(client.video(1, 100));
+        thread::sleep(Duration::from_millis(200));
+        relay.freeze();
+        note(&log, "stopped");
+        until("the streamer has reset", || log.lock().unwrap().len() > 1);
+        if !resets_alone {
+            assert!(client.video(2, 100));
+        }
+        relay.signal("CONT");
+        let told = client.told();
+        assert!(told.contains("NetConnection.Connect.ReconnectRequest"), "{told}");
+        assert_eq!(client.told(), "(end)");
+    }
+}
+
 /// A front that sends a flow's packets to another relay marks them; the streamer that holds the flow goes on
 /// where it was, and an unknown flow is reset.
 #[test]
