Take an answer that is too long for a line as an error however it is read

Seen: `UP` and 4092 bytes of receipt in one read was taken as up and passed on; the same bytes in two reads were an error. A streamer's answer of any bytes and up to 4 KiB went into the log as it came.

Ruled out: other answers.

At fault: `answer` in src/front/line.rs looks for the end in all that was read, while `arrive` looks within the longest line only. Change: the same here; 64 bytes of what is no answer are logged, escaped.

Measured: an_answer_too_long_for_a_line_is_an_error_however_it_is_read failed without the change (up, not an error); with it the unit tests passed.

--- a/src/front/line.rs
+++ b/src/front/line.rs
@@ -17,6 +17,8 @@
 const LINE_BYTES: usize = 4096;
 /// No client waits longer than this for its answer; what says so does not mean it.
 const LONGEST_WAIT: Millis = 3_600_000.0;
+/// So much of an answer that is none is logged.
+const LOGGED: usize = 64;
 /// Enough of a line to tell `BYE` and `MOVE` from others.
 const WORD: usize = 8;
 
@@ -243,7 +245,7 @@
     }
 
     fn answer(&mut self, input: &mut BytesMut, _out: &mut BytesMut) -> Answer {
-        let Some(end) = input.iter().position(|b| *b == b'\n') else {
+        let Some(end) = input.iter().take(LINE_BYTES).position(|b| *b == b'\n') else {
             let long = input.len() >= LINE_BYTES;
             return if long { Answer::Ended(Outcome::Error) } else { Answer::More };
         };
@@ -254,7 +256,9 @@
             b"MOVE" => return Answer::Ended(Outcome::Cancelled),
             b"BYE" => return Answer::Ended(Outcome::Reset),
             b"ERR" => {}
-            other => log::warn!("a streamer answered {}", String::from_utf8_lossy(other)),
+            other => {
+                log::warn!("a streamer answered {}", other[..other.len().min(LOGGED)].escape_ascii());
+            }
         }
         input.advance(end + 1);
         Answer::Ended(Outcome::Error)
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -65,6 +65,21 @@
     }
 }
 
+/// An answer that never ends is one as soon as it is too long for a line, however much of it one read brings.
+#[test]
+fn an_answer_too_long_for_a_line_is_an_error_however_it_is_read() {
+    let error = Answer::Ended(Outcome::Error);
+    assert_eq!(answered(&[&[b'U'; 4095]]).0, Answer::More);
+    assert_eq!(answered(&[&[b'U'; 4096]]).0, error);
+    let longest = [b"UP ", &[b'1'; 4091][..], b"\r\n"].concat();
+    assert_eq!(answered(&[&longest]).0, Answer::Up);
+    assert_eq!(answered(&[&longest[..4000], &longest[4000..]]).0, Answer::Up);
+    let over = [b"UP ", &[b'1'; 4092][..], b"\r\n"].concat();
+    assert_eq!(answered(&[&over[..4096]]).0, error);
+    assert_eq!(answered(&[&over[..4000], &over[4000..]]).0, error, "with its end in the second read");
+    assert_eq!(answered(&[&over]).0, error, "in one read");
+}
+
 /// A line that has no end yet is held, so that a word of the relay's own may go before it; one that is too long is
 /// passed on as it comes.
 #[test]
