--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -309,7 +309,7 @@
             peer.command("_result", 1.0, Amf0Value::Null, Vec::new());
             // It goes on once the client has sent a message, and the relay has stopped.
             let _ = peer.receive();
-            until("the relay has stopped", || log.lock().unwrap().len() > 0);
+            until("the relay has stopped", || !log.lock().unwrap().is_empty());
             let code = information(&[("code", "NetConnection.Connect.ReconnectRequest")]);
             peer.command("onStatus", 0.0, Amf0Value::Null, code);
             socket2::SockRef::from(&peer.stream).set_linger(Some(Duration::ZERO)).unwrap();
