Tell other relays which streamers leave while discovery can't answer all in time

Ruled out: shorter pauses (300 calls within 2 s fail in the queue and cost the same); questions alone (too slow after the first answers); telling all of each change (calm times would pay for it).

At fault: nothing but an own answer told a relay of a drain, and a service that takes calls in turn can't give 300 answers in 6 s.

Change: `sandgw_tier::leaving`. Whose list has come by a call made anew tells four others which streamers drain or are gone; who learns from it passes it on once. Whose call is still to be answered asks three others, then one every 2 s, and is told by them for 8 s. A word is taken where the own list is older and has the streamer as ready; it comes to the module as `ListKind::Word`, draining, and counts as no answer. It ends with an answer of its version or a later one, or to a call that was made after it came: a word of another service does no lasting harm, and is not taken twice. Nothing is told of what comes on watches that go on, but to those who ask. Two new pieces at the end of the enum; an older relay reads none.

Left: where relays may not tell each other, and a service that moves is still asked by all at once (docs/cold-start.md).

--- a/crates/affinity/src/piece.rs
+++ b/crates/affinity/src/piece.rs
@@ -6,6 +6,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::members::Tag;
 
@@ -19,6 +20,8 @@
 pub(crate) const ROOM: usize = (MOST_BYTES - 1) / 4 * 3 - 16;
 /// Streamers that a piece names with their load: two bytes for a tag, two for a load.
 pub const STREAMERS: usize = ROOM / 4;
+/// Streamers that a piece names as leaving, beside ten bytes for the list's version.
+pub const LEAVING: usize = (ROOM - 10) / size_of::<StreamerHash>();
 /// Parts of the greatest age that told ages are rounded up to; what is in the last one is not told.
 pub(crate) const AGES: u8 = 4;
 
@@ -43,6 +46,18 @@
     }
 }
 
+/// A streamer's id, hashed: among a thousand, one pair in half a billion is alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StreamerHash(pub [u8; 6]);
+
+impl StreamerHash {
+    /// Of an id.
+    pub fn of(id: &str) -> StreamerHash {
+        let [a, b, c, d, e, f, ..] = xxh3_64_with_seed(id.as_bytes(), 0).to_le_bytes();
+        StreamerHash([a, b, c, d, e, f])
+    }
+}
+
 /// Clients that one incarnation holds, of about one age.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Held {
@@ -148,6 +163,16 @@
     },
     /// A set-up of the teller's has come late at this streamer. A relay of a version before it reads none.
     Late([u8; 2]),
+    /// Streamers that drain or are gone, as of a version of discovery's list. A relay of a version before it reads none.
+    Leaving {
+        /// The list's version.
+        revision: u64,
+        /// At most [`LEAVING`] of them.
+        streamers: Vec<StreamerHash>,
+    },
+    /// Asks for streamers that have left since the asker's version of the list, 0 where it has none. A relay of a
+    /// version before it reads none.
+    Left(u64),
 }
 
 impl Piece {
--- a/crates/affinity/src/tier.rs
+++ b/crates/affinity/src/tier.rs
@@ -213,12 +213,14 @@
                 }
                 self.pump(now, out);
             }
-            // For who tells the news, and for the census.
+            // For who tells the news, for the census, and for those who ask discovery.
             Piece::Where(_)
             | Piece::Holds(_)
             | Piece::Loads { .. }
             | Piece::Calls { .. }
-            | Piece::Late(_) => {}
+            | Piece::Late(_)
+            | Piece::Leaving { .. }
+            | Piece::Left(_) => {}
         }
     }
 
--- a/crates/affinity/tests/form1.rs
+++ b/crates/affinity/tests/form1.rs
@@ -2,7 +2,9 @@
 //! a new form, and old processes would read it as nothing.
 
 use sandgw_affinity::members::Tag;
-use sandgw_affinity::piece::{BUCKETS, Client, GroupRow, Held, Kind, Piece};
+use sandgw_affinity::piece::{
+    BUCKETS, Client, GroupRow, Held, Kind, LEAVING, MOST_BYTES, Piece, StreamerHash,
+};
 
 #[test]
 fn every_kind_of_piece_is_written_and_read_as_before() {
@@ -38,3 +40,24 @@
         assert_eq!(Piece::read(text), Some(piece));
     }
 }
+
+/// A relay of a version before a piece was added reads none, and goes on; it has to fit a datagram all the same.
+#[test]
+fn a_piece_of_a_later_version_reads_as_none_and_one_of_this_is_written_as_it_was() {
+    let streamer = |n: u8| StreamerHash([n, 1, 2, 3, 4, 5]);
+    let (revision, streamers) = (u64::MAX, vec![streamer(0xff); LEAVING]);
+    let most = Piece::Leaving { revision, streamers }.text().expect("it fits");
+    assert!(most.len() <= MOST_BYTES, "{}", most.len());
+    let added = [
+        ("2CRSsAg", Piece::Calls { each: 20, took: 300 }),
+        ("2CgEC", Piece::Late([1, 2])),
+        ("2C6wCAQkBAgMEBQ", Piece::Leaving { revision: 300, streamers: vec![streamer(9)] }),
+        ("2DKwC", Piece::Left(300)),
+    ];
+    for (text, piece) in added {
+        assert_eq!(piece.text().as_deref(), Some(text), "{piece:?}");
+        assert_eq!(Piece::read(text), Some(piece));
+    }
+    // The next number, as a later version may write it.
+    assert_eq!(Piece::read("2DawC"), None);
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`news`] tells where clients' connections stand; [`census`] is what they hold together at each
 //! streamer, and [`level`] which of them carry too much; [`pace`] is how many set-ups a relay may have out while
-//! something shared is slow; [`asking`] is when it asks discovery for the list. All is free of I/O, with the time
+//! something shared is slow; [`asking`] is when it asks discovery for the list, and [`leaving`] what it tells
+//! of that to those whom discovery can't answer in time. All is free of I/O, with the time
 //! passed in; which streamer a flow goes to is decided by the module. `docs/tier.md` names the ways weighed.
 
 #![forbid(unsafe_code)]
@@ -11,6 +12,7 @@
 
 pub mod asking;
 pub mod census;
+pub mod leaving;
 pub mod level;
 pub mod news;
 pub mod pace;
--- /dev/null
+++ b/crates/tier/tests/leaving.rs
@@ -0,0 +1,353 @@
+//! Many relays, one discovery service that takes calls in turn, and faults: when each relay has been told of each
+//! change, by an answer or by another's word, in virtual time.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sandgw_affinity::piece::{Piece, StreamerHash};
+use sandgw_tier::asking::{Among, Asking, broken, silent};
+use sandgw_tier::leaving::{Answer, Leaving, Of};
+
+/// Milliseconds from one look to the next, and a datagram's way.
+const STEP: f64 = 5.0;
+const WAY: f64 = 20.0;
+/// A call that has waited so long is turned away, and costs its turn all the same; a caller waits no longer than that.
+const PATIENCE: f64 = 2000.0;
+const GIVES_UP: f64 = 2500.0;
+/// A watch that has fallen silent is noticed after this long at the most.
+const NOTICED: f64 = 3500.0;
+/// When the fault begins, and how long is played.
+const FAULT: f64 = 2000.0;
+const LONG: f64 = 60_000.0;
+/// From then on a change counts as told.
+const TOLD: f64 = 6000.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    /// For so long each call is refused at once.
+    Refuses(f64),
+    /// For so long calls are accepted and never answered.
+    Silent(f64),
+    /// All watches are reset, and all is well.
+    Resets,
+    /// All watches fall silent, and all is well.
+    WatchesSilent,
+    /// Seven in ten relays are killed and start again together, with the list from before.
+    Restarts,
+}
+
+impl Fault {
+    /// When the service is back.
+    fn back(self) -> f64 {
+        FAULT + if let Fault::Refuses(long) | Fault::Silent(long) = self { long } else { 0.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    relays: u32,
+    fault: Fault,
+    /// What a call costs the service that begins.
+    cost: f64,
+    loss: f64,
+    /// Whether relays may tell each other of streamers that leave.
+    words: bool,
+    seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// The next call is the module's.
+    Waits,
+    /// A call is made then, without the module's pause.
+    Anew(f64),
+    /// A call is out since then; nobody will answer it where it is lost.
+    Out { since: f64, lost: bool },
+    /// A watch goes on; it has fallen silent where that is to be noticed then.
+    Watches { noticed: Option<f64> },
+}
+
+struct Relay {
+    asking: Asking,
+    leaving: Leaving,
+    stage: Stage,
+    revision: u64,
+    /// Streamers that it sends nothing to.
+    avoids: BTreeSet<StreamerHash>,
+    /// When it was told of each change.
+    told: Vec<Option<f64>>,
+}
+
+#[derive(Debug, Default)]
+struct Played {
+    /// How long after a change could have been had each relay was told of it, the latest last.
+    after: Vec<f64>,
+    /// Relays that were told late of some change.
+    late: usize,
+    words: usize,
+    bytes: usize,
+    calls: usize,
+}
+
+/// Datagrams on their way: when each arrives, from whom, at whom.
+#[derive(Default)]
+struct Post {
+    on_their_way: VecDeque<(f64, u32, u32, Piece)>,
+    loss: f64,
+    words: usize,
+    bytes: usize,
+}
+
+impl Post {
+    fn send(&mut self, now: f64, me: u32, out: &mut Vec<(u32, Piece)>, dice: &mut StdRng) {
+        for (peer, piece) in out.drain(..) {
+            assert_ne!(peer, me, "it tells itself");
+            if matches!(piece, Piece::Leaving { .. } | Piece::Left(_)) {
+                self.words += 1;
+                self.bytes += piece.text().expect("it fits").len();
+            }
+            if !dice.random_bool(self.loss) {
+                self.on_their_way.push_back((now + WAY, me, peer, piece));
+            }
+        }
+    }
+}
+
+fn streamer(n: u64) -> StreamerHash {
+    StreamerHash::of(&format!("s{n}"))
+}
+
+/// Each change is one streamer that leaves; the list's version counts them.
+fn play(plan: Plan, changes: &[f64]) -> Played {
+    let Plan { relays, fault, cost, loss, words, seed } = plan;
+    let mut dice = StdRng::seed_from_u64(seed);
+    let tier = |me| Among { relays, me, step: 200.0, most: 5_000.0 };
+    let of = |me| Of { me, relays: if words { relays } else { 0 } };
+    let fresh = |me: u32, life: u64| {
+        let seed = seed * 1000 + u64::from(me) + life * 500_000;
+        let mut leaving = Leaving::new(seed);
+        leaving.known(Some(0));
+        let (stage, told) = (Stage::Watches { noticed: None }, vec![None; changes.len()]);
+        Relay { asking: Asking::new(seed), leaving, stage, revision: 0, avoids: BTreeSet::new(), told }
+    };
+    let mut all: Vec<Relay> = (0..relays).map(|me| fresh(me, 0)).collect();
+    let (mut turn, mut busy): (VecDeque<(u32, f64)>, f64) = (VecDeque::new(), 0.0);
+    let mut post = Post { loss, ..Post::default() };
+    let (mut played, mut begun) = (Played::default(), false);
+    let mut now = 0.0;
+    while now < LONG {
+        now += STEP;
+        let revision = changes.iter().filter(|at| **at <= now).count() as u64;
+        let down = now >= FAULT && now < fault.back();
+        if now >= FAULT && !std::mem::replace(&mut begun, true) {
+            turn.clear();
+            for me in 0..relays {
+                let one = &mut all[me as usize];
+                let broken_off = |dice: &mut StdRng| Stage::Anew(now + broken(relays, dice.random()));
+                match fault {
+                    Fault::Refuses(_) | Fault::Resets => {
+                        one.stage = broken_off(&mut dice);
+                        one.leaving.failed(now, of(me));
+                    }
+                    Fault::Silent(_) | Fault::WatchesSilent => {
+                        one.stage =
+                            Stage::Watches { noticed: Some(now + NOTICED * dice.random_range(0.6..1.0)) };
+                    }
+                    Fault::Restarts if dice.random_bool(0.7) => {
+                        *one = fresh(me, 1);
+                        one.stage = Stage::Waits;
+                        one.asking.start(now, &tier(me));
+                        one.leaving.failed(now, of(me));
+                    }
+                    Fault::Restarts => {}
+                }
+            }
+        }
+        let mut out = Vec::new();
+        let mut answered = Vec::new();
+        for me in 0..relays {
+            let one = &mut all[me as usize];
+            one.leaving.due(now, of(me), &mut out);
+            let calls = match one.stage {
+                Stage::Anew(at) => at <= now,
+                Stage::Waits => one.asking.due(now),
+                Stage::Out { since, .. } => {
+                    if now - since > GIVES_UP {
+                        one.stage = Stage::Waits;
+                        one.asking.failed(now, &tier(me), &mut out);
+                        one.leaving.failed(now, of(me));
+                    }
+                    false
+                }
+                Stage::Watches { noticed: Some(at) } if at <= now => {
+                    one.stage = Stage::Anew(now + silent(relays, dice.random()));
+                    one.leaving.failed(now, of(me));
+                    false
+                }
+                Stage::Watches { noticed: None } if !down && one.revision < revision => {
+                    answered.push((me, now - 1000.0));
+                    false
+                }
+                Stage::Watches { .. } => false,
+            };
+            if calls {
+                played.calls += 1;
+                match fault {
+                    Fault::Refuses(_) if down => {
+                        one.stage = Stage::Waits;
+                        one.asking.failed(now, &tier(me), &mut out);
+                        one.leaving.failed(now, of(me));
+                    }
+                    Fault::Silent(_) if down => one.stage = Stage::Out { since: now, lost: true },
+                    _ => {
+                        one.stage = Stage::Out { since: now, lost: false };
+                        turn.push_back((me, now));
+                    }
+                }
+            }
+            post.send(now, me, &mut out, &mut dice);
+        }
+        busy = (busy - STEP).max(-STEP);
+        while busy <= 0.0
+            && let Some((me, since)) = turn.pop_front()
+        {
+            if all[me as usize].stage != (Stage::Out { since, lost: false }) {
+                // Its caller has left; it costs its turn.
+                busy += cost;
+                continue;
+            }
+            busy += cost;
+            if now - since > PATIENCE {
+                let one = &mut all[me as usize];
+                one.stage = Stage::Waits;
+                one.asking.failed(now, &tier(me), &mut out);
+                one.leaving.failed(now, of(me));
+                post.send(now, me, &mut out, &mut dice);
+            } else {
+                answered.push((me, since));
+            }
+        }
+        for (me, asked) in answered {
+            let one = &mut all[me as usize];
+            let left: Vec<_> = (one.revision..revision).map(streamer).collect();
+            one.stage = Stage::Watches { noticed: None };
+            one.asking.answered(now, &tier(me), &mut out);
+            let answer = Answer { revision, asked, whole: false };
+            let back = one.leaving.listed(now, of(me), answer, &left, &[], &mut out);
+            assert!(back.is_empty(), "relay {me} takes back what has left: {back:?}");
+            one.revision = revision;
+            one.avoids.extend(left);
+            for told in &mut one.told[..revision as usize] {
+                told.get_or_insert(now);
+            }
+            post.send(now, me, &mut out, &mut dice);
+        }
+        while post.on_their_way.front().is_some_and(|d| d.0 <= now)
+            && let Some((_, from, me, piece)) = post.on_their_way.pop_front()
+        {
+            let one = &mut all[me as usize];
+            if let Piece::Calls { each, took } = piece {
+                one.asking.told(now, f64::from(each), f64::from(took), &tier(me));
+                continue;
+            }
+            let avoids = &one.avoids;
+            let fresh = one.leaving.told(now, of(me), from, piece, |s| !avoids.contains(&s), &mut out);
+            for s in &fresh {
+                let n = (0..changes.len()).find(|n| streamer(*n as u64) == *s).expect("one that left");
+                assert!(changes[n] <= now, "a word of what has not happened");
+                one.told[n].get_or_insert(now);
+            }
+            one.avoids.extend(fresh);
+            post.send(now, me, &mut out, &mut dice);
+        }
+    }
+    for one in &all {
+        let after = |(told, at): (&Option<f64>, &f64)| told.unwrap_or(LONG) - at.max(fault.back());
+        let after: Vec<_> = one.told.iter().zip(changes).map(after).collect();
+        played.late += usize::from(after.iter().any(|after| *after > TOLD));
+        played.after.extend(after);
+    }
+    played.after.sort_by(f64::total_cmp);
+    (played.words, played.bytes) = (post.words, post.bytes);
+    played
+}
+
+/// Changes in the outage, as it ends and after it.
+fn changes(fault: Fault) -> Vec<f64> {
+    let back = fault.back();
+    let mut all = vec![FAULT + 100.0, back - 50.0, back + 10.0, back + 500.0, back + 1500.0, back + 3000.0];
+    all.sort_by(f64::total_cmp);
+    all
+}
+
+fn told(fault: Fault, cost: f64, loss: f64, words: bool) -> Vec<(u32, usize, f64)> {
+    let mut all = Vec::new();
+    for relays in [1, 4, 8, 30, 100, 300] {
+        let (mut late, mut latest) = (0, 0.0_f64);
+        for seed in 0..5 {
+            let played = play(Plan { relays, fault, cost, loss, words, seed }, &changes(fault));
+            let median = played.after[played.after.len() / 2];
+            let most = played.after[played.after.len() - 1];
+            let each = |n: usize| n as f64 / f64::from(relays);
+            eprintln!(
+                "{fault:?}, {relays} relays, {cost} ms, {loss} lost, words {words}, seed {seed}: {} late, median \
+                {median:.0}, latest {most:.0}, {:.1} calls, {:.1} words, {:.0} bytes a relay",
+                played.late,
+                each(played.calls),
+                each(played.words),
+                each(played.bytes),
+            );
+            late += played.late;
+            latest = latest.max(most);
+        }
+        all.push((relays, late, latest));
+    }
+    all
+}
+
+const FAULTS: [Fault; 5] =
+    [Fault::Refuses(8000.0), Fault::Silent(8000.0), Fault::Resets, Fault::WatchesSilent, Fault::Restarts];
+
+#[test]
+fn every_relay_is_told_in_time_whatever_the_fault_was() {
+    for fault in FAULTS {
+        for (relays, late, latest) in told(fault, 50.0, 0.1, true) {
+            assert_eq!(late, 0, "{fault:?}: {late} of five times {relays} relays, the latest after {latest}");
+        }
+    }
+}
+
+#[test]
+fn hardly_any_is_told_late_by_a_service_of_half_the_rate_and_with_a_fifth_of_all_words_lost() {
+    for fault in FAULTS {
+        for cost in [50.0, 100.0] {
+            for (relays, late, latest) in told(fault, cost, 0.2, true) {
+                // Of five times as many: up to 8 relays ask so soon that words don't matter.
+                let most = if relays > 8 { relays / 50 } else { 0 };
+                assert!(
+                    late <= most as usize,
+                    "{fault:?}, {cost} ms: {late} of five times {relays} relays late"
+                );
+                assert!(
+                    latest < 2.5 * TOLD,
+                    "{fault:?}, {cost} ms, {relays} relays: the latest after {latest}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn without_words_most_of_hundreds_are_told_late() {
+    // What the ones above guard against, and what is left where relays may not tell each other.
+    for fault in FAULTS {
+        for (relays, late, latest) in told(fault, 50.0, 0.1, false) {
+            eprintln!(
+                "{fault:?}: without words {late} of five times {relays} relays late, the latest after {latest}"
+            );
+            assert!(relays > 8 || late == 0, "{fault:?}: {late} of five times {relays} relays late");
+            assert!(relays < 300 || late > 300, "{fault:?}: {late} of five times {relays} relays late");
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -201,6 +201,8 @@
     Cached,
     /// A call failed or the subscription dropped; nothing is said of the servers.
     Failed,
+    /// Some entries as another balancer's word has them; no call was answered.
+    Word,
 }
 
 /// A request as it arrives.
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -82,11 +82,11 @@
             ServerState::Gone => State::Gone,
         };
         let entries = entries.iter().map(|e| (&e.id.0, e.started, state(e)));
-        self.affinity.list(now, kind != ListKind::Delta, entries);
-        if kind != ListKind::Cached {
-            self.asking.answered(now, &self.among, &mut self.sends);
-        } else if self.asks {
-            self.asking.start(now, &self.among);
+        self.affinity.list(now, matches!(kind, ListKind::Full | ListKind::Cached), entries);
+        match kind {
+            ListKind::Full | ListKind::Delta => self.asking.answered(now, &self.among, &mut self.sends),
+            ListKind::Cached if self.asks => self.asking.start(now, &self.among),
+            ListKind::Cached | ListKind::Failed | ListKind::Word => {}
         }
         if kind == ListKind::Cached && self.peers {
             self.tier.recover(&self.affinity, now, &mut self.sends);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,6 +10,7 @@
 use super::{Shared, span};
 use crate::advice::Advice;
 use crate::interface::{Discovery, ListKind, Millis, ServerEntry};
+use crate::relay::Relay;
 use crate::target_group::{CallError, RETRY};
 
 /// Least time between two watches that are followed by another call without the module's pause. A service that answers
@@ -52,7 +53,7 @@
                     for e in &entries {
                         debug!("list: {} {:?} size {} in {}", e.id.0, e.state, e.weight, e.zone.0);
                     }
-                    shared.listed(kind, entries);
+                    shared.listed(kind, entries, asked);
                 }
                 Err(e) => {
                     let took = shared.clock.now() - asked;
@@ -71,6 +72,7 @@
                         anew = now;
                         let relays = shared.config.borrow().settings.balancers;
                         let pause = span(shared.target_group.borrow_mut().anew(relays, silent));
+                        shared.core(Relay::unwatched);
                         tokio::select! {
                             () = shared.moved.notified() => moved = true,
                             () = tokio::time::sleep(pause) => {}
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -14,6 +14,7 @@
     SendFlags, recvmsg, sendmsg,
 };
 use sandgw_affinity::Record;
+use sandgw_tier::leaving::Answer;
 use serde_json::Value;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::{TcpStream, UnixListener, UnixStream};
@@ -229,7 +230,10 @@
 fn known(shared: &Rc<Shared>, list: Option<(Option<u64>, Vec<Value>)>) -> Result<(), ListError> {
     let Some((revision, members)) = list else { return Ok(()) };
     let entries = shared.target_group.borrow_mut().handed(revision, members)?;
-    shared.core(|relay, now| relay.list(now, ListKind::Full, entries));
+    shared.core(|relay, now| match revision {
+        Some(revision) => relay.answered(now, Answer { revision, asked: now, whole: true }, entries),
+        None => relay.list(now, ListKind::Full, entries),
+    });
     shared.watch.notify_one();
     Ok(())
 }
--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -8,6 +8,7 @@
 use sandgw_maintenance::call::Call;
 use sandgw_maintenance::plan::Streamer;
 use sandgw_maintenance::{Desk, Row, WindowId, piece};
+use sandgw_tier::leaving::Answer;
 
 use super::{Shared, until};
 use crate::config::Config;
@@ -41,8 +42,8 @@
         Some(result)
     }
 
-    /// News of the list, for the core and for the desk.
-    pub(super) fn listed(self: &Rc<Self>, kind: ListKind, entries: Vec<ServerEntry>) {
+    /// News of the list, for the core and for the desk; `asked` is when the call was made that it answers.
+    pub(super) fn listed(self: &Rc<Self>, kind: ListKind, entries: Vec<ServerEntry>, asked: Millis) {
         self.at_desk(|desk, now| {
             let plan = desk.plan();
             if matches!(kind, ListKind::Full | ListKind::Cached) {
@@ -59,7 +60,12 @@
                 plan.confirmed(now);
             }
         });
-        self.core(|relay, now| relay.list(now, kind, entries));
+        let revision = self.target_group.borrow().held().0;
+        let whole = kind == ListKind::Full;
+        self.core(|relay, now| match revision.filter(|_| whole || kind == ListKind::Delta) {
+            Some(revision) => relay.answered(now, Answer { revision, asked, whole }, entries),
+            None => relay.known(now, revision, entries),
+        });
     }
 
     /// Takes a datagram, if it is of windows.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -251,6 +251,7 @@
                 }
                 if before != now {
                     shared.target_group.borrow_mut().moved();
+                    shared.core(Relay::moved);
                     shared.moved.notify_one();
                 }
             }
@@ -359,7 +360,7 @@
     }
     if !shared.relay.borrow().is_listed() {
         *shared.target_group.borrow_mut() = target_group;
-        shared.listed(ListKind::Cached, known);
+        shared.listed(ListKind::Cached, known, shared.clock.now());
     }
     let seed = shared.config.borrow().seed;
     shared.target_group.borrow_mut().reseed(seed);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -7,8 +7,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use log::{debug, error, warn};
+use sandgw_affinity::piece::StreamerHash;
+use sandgw_affinity::tier::Sends;
 use sandgw_affinity::{Changes, Figures, Record, Restored};
 use sandgw_shares::policy::Signs;
+use sandgw_tier::leaving::{Answer, Leaving, Of};
 
 use crate::Balancer;
 use crate::carry::{Carried, CarriedFlow};
@@ -23,6 +26,7 @@
 /// Tokens of the core's own timers; the module's stay below.
 const EMPTY: u64 = 1 << 63;
 const SHARES: u64 = EMPTY + 1;
+const LEFT: u64 = EMPTY + 2;
 
 /// How many outcomes there are, for [`Counters::forwards`].
 pub const OUTCOMES: usize = 8;
@@ -218,6 +222,8 @@
     counted: Counted,
     tells_shares: bool,
     refusals: u64,
+    /// Streamers that have left, by the list or by others' word.
+    leaving: Leaving,
 }
 
 impl Relay {
@@ -246,6 +252,7 @@
             counted,
             tells_shares: false,
             refusals: 0,
+            leaving: Leaving::new(seed),
         };
         relay.tell_shares(now);
         relay
@@ -513,6 +520,89 @@
         self.settle(now);
     }
 
+    /// Among whom relays tell each other of streamers that leave: where each asks discovery.
+    fn of(&self) -> Of {
+        let s = &self.balancer.settings;
+        let tells = s.peers && s.discovery == Discovery::OnRequest;
+        Of { me: s.me, relays: if tells { s.balancers } else { 0 } }
+    }
+
+    /// The list as last held, and its version if it is known to be this discovery service's.
+    pub fn known(&mut self, now: Millis, revision: Option<u64>, servers: Vec<ServerEntry>) {
+        self.leaving.known(revision);
+        self.list(now, ListKind::Cached, servers);
+    }
+
+    /// Another discovery service is asked from now on.
+    pub fn moved(&mut self, now: Millis) {
+        self.leaving.moved(now, self.of());
+        self.ask_others(now, Sends::new());
+    }
+
+    /// A watch was broken off, and the list is asked for anew: what changes is not heard of until that is answered.
+    pub fn unwatched(&mut self, now: Millis) {
+        self.leaving.failed(now, self.of());
+        self.ask_others(now, Sends::new());
+    }
+
+    /// Discovery has answered, with the whole list or with changes to it.
+    pub fn answered(&mut self, now: Millis, answer: Answer, mut servers: Vec<ServerEntry>) {
+        let hash = |id: &ServerId| StreamerHash::of(&id.0);
+        let (ready, others): (Vec<_>, Vec<_>) = servers.iter().partition(|e| e.state == ServerState::Ready);
+        let ready: Vec<_> = ready.into_iter().map(|e| hash(&e.id)).collect();
+        let others: Vec<_> = others.into_iter().map(|e| hash(&e.id)).collect();
+        let set: BTreeSet<_> = if answer.whole { &ready } else { &others }.iter().copied().collect();
+        let was_ready = self.targets.iter().map(|(id, t)| (hash(id), t.state == Some(ServerState::Ready)));
+        let was_ready = was_ready.filter(|(id, ready)| *ready || self.leaving.holds(*id)).map(|(id, _)| id);
+        let left: Vec<_> = was_ready.filter(|id| set.contains(id) != answer.whole).collect();
+        let mut out = Sends::new();
+        let back = self.leaving.listed(now, self.of(), answer, &left, &ready, &mut out);
+        if !answer.whole {
+            servers.extend(self.entries(&back, ServerState::Ready));
+        }
+        self.list(now, if answer.whole { ListKind::Full } else { ListKind::Delta }, servers);
+        self.ask_others(now, out);
+    }
+
+    /// Entries of the list, as they are known, in this state.
+    fn entries(&self, streamers: &[StreamerHash], state: ServerState) -> Vec<ServerEntry> {
+        let known = self.balancer.ledger.servers.iter();
+        let known = known.filter(|(id, _)| streamers.contains(&StreamerHash::of(&id.0)));
+        let entry = |(id, s): (&ServerId, &crate::state::Server)| ServerEntry {
+            id: id.clone(),
+            state,
+            weight: s.weight,
+            started: s.started,
+            zone: s.zone.clone(),
+            cell: s.cell,
+        };
+        known.map(entry).collect()
+    }
+
+    /// Tells other relays of streamers that have left, or asks them; and sets the timer for the next question.
+    fn ask_others(&mut self, now: Millis, out: Sends) {
+        let message = |piece| Message { memory: Some(piece), ..Message::default() };
+        let tell = out.into_iter().map(|(peer, piece)| Command::Tell { peer, message: message(piece) });
+        self.commands.extend(tell);
+        let timer = self.leaving.timer(now).map(|after| Command::Timer { after, token: LEFT });
+        self.commands.extend(timer);
+    }
+
+    /// Takes another relay's word of streamers that have left, or answers its question. On a word nothing is sent to a
+    /// streamer any more; nothing is ever sent to one on a word.
+    fn told_of_leaving(&mut self, now: Millis, peer: u32, piece: Piece) {
+        let (of, mut out) = (self.of(), Sends::new());
+        let ready = self.targets.iter().filter(|(_, t)| t.state == Some(ServerState::Ready));
+        let ready: BTreeSet<_> = ready.map(|(id, _)| StreamerHash::of(&id.0)).collect();
+        let fresh = self.leaving.told(now, of, peer, piece, |id| ready.contains(&id), &mut out);
+        if !fresh.is_empty() {
+            debug!("relay {peer} tells of {} streamers that leave", fresh.len());
+            let servers = self.entries(&fresh, ServerState::Draining);
+            self.list(now, ListKind::Word, servers);
+        }
+        self.ask_others(now, out);
+    }
+
     /// News of the list.
     pub fn list(&mut self, now: Millis, kind: ListKind, servers: Vec<ServerEntry>) {
         if matches!(kind, ListKind::Full | ListKind::Cached) {
@@ -526,6 +616,9 @@
         self.listed |= kind == ListKind::Full || !servers.is_empty();
         self.events.push_back(Event::List { kind, servers });
         self.settle(now);
+        if matches!(kind, ListKind::Cached | ListKind::Failed) {
+            self.unwatched(now);
+        }
     }
 
     /// A message from another relay.
@@ -535,6 +628,9 @@
             self.counted.told(now, peer, told, &mut out);
             return self.tell(out);
         }
+        if let Some(piece @ (Piece::Leaving { .. } | Piece::Left(_))) = message.memory {
+            return self.told_of_leaving(now, peer, piece);
+        }
         self.events.push_back(Event::Told { peer, message });
         self.settle(now);
     }
@@ -544,6 +640,11 @@
         match token {
             EMPTY => return self.empty(now),
             SHARES => return self.tell_shares(now),
+            LEFT => {
+                let mut out = Sends::new();
+                self.leaving.due(now, self.of(), &mut out);
+                return self.ask_others(now, out);
+            }
             _ => {}
         }
         self.events.push_back(Event::Timer(token));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -166,7 +166,7 @@
     fn list(&mut self, now: Millis, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Actions) {
         self.memory.list(now, kind, &entries);
         let servers = &mut self.ledger.servers;
-        if kind != ListKind::Delta {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
             servers.values_mut().for_each(|s| s.state = ServerState::Gone);
         }
         let mut resized = false;
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,284 @@
+//! Words of streamers that leave: what the core makes of them, and real processes that discovery can't all answer.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sandgw::interface::{
+    Class, Discovery, Key, Message, Millis, Piece, Repeat, ServerEntry, ServerId, ServerState, Settings, Zone,
+};
+use sandgw::relay::{Arrival, Command, FlowCommand, Relay};
+use sandgw_affinity::piece::StreamerHash;
+use sandgw_rig::log::{Event, What};
+use sandgw_rig::script::Fault;
+use sandgw_rig::{Rig, Size};
+use sandgw_tier::leaving::Answer;
+
+const START: Millis = 1000.0;
+
+fn entry(n: u64, state: ServerState) -> ServerEntry {
+    ServerEntry {
+        id: ServerId(format!("s{n}").into()),
+        state,
+        weight: 1.0,
+        started: 0.0,
+        zone: Zone("a".into()),
+        cell: 0,
+    }
+}
+
+fn ready(n: u64) -> Vec<ServerEntry> {
+    (0..n).map(|n| entry(n, ServerState::Ready)).collect()
+}
+
+/// One of 300 relays that holds four streamers as of version 40.
+fn relay(peers: bool) -> Relay {
+    let class = Class { repeat: Repeat::Safe, aim: 500.0, message_aim: None, worth: 1.0 };
+    let settings = Settings {
+        classes: vec![class],
+        discovery: Discovery::OnRequest,
+        balancers: 300,
+        me: 7,
+        peers,
+        ..Settings::default()
+    };
+    let mut relay = Relay::new(settings, vec!["safe".into()], 7, START);
+    relay.known(START, Some(40), ready(4));
+    relay.take_commands();
+    relay
+}
+
+/// Where a hundred clients are sent, each of which leaves again.
+fn sent(relay: &mut Relay, now: Millis) -> BTreeSet<String> {
+    let mut all = BTreeSet::new();
+    for client in 0..100 {
+        let client = Some(Key(format!("c{client}").into()));
+        let arrival = Arrival { class: "safe".into(), client, deadline: now + 500.0, ..Arrival::default() };
+        let id = relay.arrive(now, arrival);
+        all.extend(relay.take_commands().into_iter().filter_map(|c| match c {
+            Command::Flow(_, FlowCommand::Forward { target, .. }) => Some(target.0.to_string()),
+            _ => None,
+        }));
+        relay.left(now, id);
+        relay.take_commands();
+    }
+    all
+}
+
+fn word(revision: u64, streamers: &[u64]) -> Message {
+    let streamers = streamers.iter().map(|n| StreamerHash::of(&format!("s{n}"))).collect();
+    Message { memory: Some(Piece::Leaving { revision, streamers }), ..Message::default() }
+}
+
+/// To whom words or questions are sent.
+fn tells(relay: &mut Relay) -> Vec<(u32, Piece)> {
+    let told = |c| match c {
+        Command::Tell { peer, message } => message.memory.map(|piece| (peer, piece)),
+        _ => None,
+    };
+    let mut all: Vec<_> = relay.take_commands().into_iter().filter_map(told).collect();
+    all.retain(|(_, piece)| matches!(piece, Piece::Leaving { .. } | Piece::Left(_)));
+    all
+}
+
+fn names(all: &[u64]) -> BTreeSet<String> {
+    all.iter().map(|n| format!("s{n}")).collect()
+}
+
+#[test]
+fn nothing_is_sent_to_a_streamer_on_a_word_and_a_few_others_are_told() {
+    let mut relay = relay(true);
+    assert_eq!(sent(&mut relay, START), names(&[0, 1, 2, 3]));
+    relay.told(START, 3, word(41, &[2]));
+    let told = tells(&mut relay);
+    assert!(!told.is_empty() && told.len() <= 4, "{told:?}");
+    assert!(told.iter().all(|(peer, _)| *peer != 7 && *peer < 300), "{told:?}");
+    assert!(!relay.is_ready(&ServerId("s2".into())));
+    assert_eq!(sent(&mut relay, START), names(&[0, 1, 3]));
+    relay.told(START, 4, word(41, &[2]));
+    assert!(tells(&mut relay).is_empty(), "a word is passed on once");
+}
+
+#[test]
+fn a_client_that_stands_at_a_streamer_is_told_when_a_word_says_that_it_leaves() {
+    let mut relay = relay(true);
+    let arrival = Arrival { class: "safe".into(), deadline: START + 500.0, ..Arrival::default() };
+    let id = relay.arrive(START, arrival);
+    let target = relay.take_commands().into_iter().find_map(|c| match c {
+        Command::Flow(_, FlowCommand::Forward { target, .. }) => Some(target.0[1..].parse().unwrap()),
+        _ => None,
+    });
+    relay.established(START, id, 5.0);
+    relay.told(START, 3, word(41, &[target.expect("it is sent on")]));
+    let mut moved = false;
+    for ms in 0..2000 {
+        let now = START + f64::from(ms);
+        for command in relay.take_commands() {
+            match command {
+                Command::Timer { token, .. } => relay.timer(now, token),
+                Command::Flow(_, FlowCommand::Move) => moved = true,
+                _ => {}
+            }
+        }
+    }
+    assert!(moved, "its client was not told");
+}
+
+#[test]
+fn a_word_makes_no_streamer_ready_and_none_known() {
+    let mut relay = relay(true);
+    relay.answered(
+        START,
+        Answer { revision: 41, asked: START, whole: false },
+        vec![entry(1, ServerState::Draining)],
+    );
+    relay.told(START, 3, word(42, &[77]));
+    relay.told(START, 3, word(42, &[1]));
+    assert_eq!(sent(&mut relay, START), names(&[0, 2, 3]));
+    assert_eq!(relay.targets().count(), 4);
+}
+
+#[test]
+fn a_word_of_a_list_that_is_no_newer_is_not_taken() {
+    let mut relay = relay(true);
+    relay.told(START, 3, word(40, &[2]));
+    relay.told(START, 3, word(7, &[1]));
+    assert_eq!(sent(&mut relay, START), names(&[0, 1, 2, 3]));
+}
+
+#[test]
+fn relays_that_may_not_tell_each_other_take_no_word_and_send_none() {
+    let mut relay = relay(false);
+    relay.told(START, 3, word(41, &[2]));
+    assert_eq!(sent(&mut relay, START), names(&[0, 1, 2, 3]));
+    relay.answered(
+        START,
+        Answer { revision: 41, asked: START, whole: false },
+        vec![entry(1, ServerState::Draining)],
+    );
+    assert!(tells(&mut relay).is_empty());
+}
+
+#[test]
+fn a_streamer_is_sent_to_again_once_an_answer_knows_better_than_a_word() {
+    let all = names(&[0, 1, 2, 3]);
+    let answer = |revision, asked, whole| Answer { revision, asked, whole };
+    // Of the word's version or a later one, or to a call that was made after the word came, whatever its version: the
+    // word may be of another service.
+    for answer in
+        [answer(41, START - 1.0, false), answer(45, START - 1.0, false), answer(40, START + 5.0, false)]
+    {
+        let mut relay = relay(true);
+        relay.told(START, 3, word(41, &[2]));
+        relay.answered(START + 10.0, answer, Vec::new());
+        assert_eq!(sent(&mut relay, START + 10.0), all, "{answer:?}");
+        relay.told(START + 20.0, 4, word(41, &[2]));
+        assert_eq!(sent(&mut relay, START + 20.0), all, "{answer:?}: the same word once more");
+    }
+    let mut relay = relay(true);
+    relay.told(START, 3, word(41, &[2]));
+    relay.answered(START + 10.0, answer(41, START - 1.0, true), ready(4));
+    assert_eq!(sent(&mut relay, START + 10.0), all, "the whole list");
+}
+
+#[test]
+fn a_streamer_stays_avoided_while_the_word_is_newer_than_the_answer() {
+    let mut relay = relay(true);
+    relay.told(START, 3, word(42, &[2]));
+    let answer = Answer { revision: 41, asked: START - 1.0, whole: false };
+    relay.answered(START + 10.0, answer, vec![entry(0, ServerState::Gone)]);
+    assert_eq!(sent(&mut relay, START + 10.0), names(&[1, 3]));
+    let answer = Answer { revision: 42, asked: START - 1.0, whole: false };
+    relay.answered(START + 20.0, answer, vec![entry(2, ServerState::Draining)]);
+    assert_eq!(sent(&mut relay, START + 20.0), names(&[1, 3]), "the list says so too");
+    let answer = Answer { revision: 43, asked: START + 20.0, whole: false };
+    relay.answered(START + 30.0, answer, Vec::new());
+    assert_eq!(sent(&mut relay, START + 30.0), names(&[1, 3]), "and has not taken it back");
+}
+
+#[test]
+fn words_of_the_service_before_do_no_harm_after_a_move() {
+    let mut relay = relay(true);
+    let answer = |revision, asked, whole| Answer { revision, asked, whole };
+    relay.answered(START, answer(40, START, false), Vec::new());
+    relay.told(START, 3, word(2000, &[2]));
+    relay.moved(START + 10.0);
+    relay.answered(START + 20.0, answer(5, START + 15.0, true), ready(4));
+    assert_eq!(sent(&mut relay, START + 20.0), names(&[0, 1, 2, 3]), "taken before the move");
+    relay.told(START + 30.0, 3, word(2001, &[1]));
+    relay.answered(START + 40.0, answer(5, START + 25.0, false), Vec::new());
+    relay.answered(START + 50.0, answer(6, START + 45.0, false), Vec::new());
+    assert_eq!(sent(&mut relay, START + 50.0), names(&[0, 1, 2, 3]), "taken after the move");
+}
+
+#[test]
+fn what_comes_on_a_watch_that_goes_on_is_told_to_nobody_but_those_who_ask() {
+    let mut relay = relay(true);
+    let answer = |revision| Answer { revision, asked: START, whole: false };
+    relay.answered(START, answer(41), Vec::new());
+    tells(&mut relay);
+    relay.answered(START + 100.0, answer(42), vec![entry(1, ServerState::Draining)]);
+    assert!(tells(&mut relay).is_empty(), "in calm times");
+    relay.told(START + 200.0, 99, Message { memory: Some(Piece::Left(40)), ..Message::default() });
+    let [(99, Piece::Leaving { revision: 42, streamers })] = &tells(&mut relay)[..] else {
+        panic!("who asks is not answered")
+    };
+    assert_eq!(*streamers, [StreamerHash::of("s1")]);
+    relay.answered(START + 300.0, answer(43), vec![entry(2, ServerState::Gone)]);
+    let [(99, Piece::Leaving { revision: 43, streamers })] = &tells(&mut relay)[..] else {
+        panic!("who has asked is not told what is new")
+    };
+    assert_eq!(*streamers, [StreamerHash::of("s2")]);
+    relay.answered(START + 60_000.0, answer(44), vec![entry(3, ServerState::Gone)]);
+    assert!(tells(&mut relay).is_empty(), "a minute later");
+}
+
+/// What a busy machine may be late by, in milliseconds.
+const GRACE: f64 = 1500.0;
+
+fn attempts(events: &[Event], at: &str, since: f64) -> usize {
+    let attempt = |e: &&Event| matches!(&e.what, What::Attempt { streamer, .. } if **streamer == *at);
+    events.iter().filter(|e| e.at > since).filter(attempt).count()
+}
+
+/// Discovery was down, and is back with a change and at a rate that has most relays wait for half a minute: by then
+/// all of them have stopped sending to the streamer that leaves.
+#[tokio::test]
+async fn relays_that_discovery_cannot_answer_in_time_know_by_word_what_has_left() {
+    const RELAYS: usize = 20;
+    let mut size = Size::new(env!("CARGO_BIN_EXE_sandgw"), RELAYS, 4);
+    size.rules.grace_ms = GRACE;
+    let mut rig = Rig::new(size).await.unwrap();
+    rig.ready().await.unwrap();
+    let told = |events: &[Event], to: u64| {
+        let told = |relay: usize| {
+            let has = |e: &Event| matches!(e.what, What::Told { relay: r, revision, .. } if r == relay && revision >= to);
+            events.iter().any(has)
+        };
+        (0..RELAYS).filter(|relay| told(*relay)).count()
+    };
+    let all = |events: &[Event]| told(events, 0) == RELAYS;
+    assert!(rig.log.until(20_000.0, all).await, "not all have a list");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    rig.discovery.set(|s| s.down = true);
+    tokio::time::sleep(Duration::from_millis(4000)).await;
+    rig.apply(&Fault::Drain(0, 30_000.0)).await.unwrap();
+    rig.discovery.set(|s| (s.down, s.cost) = (false, 1500.0));
+    let back = rig.log.now();
+    let first = |events: &[Event]| told(events, 5) > 0;
+    assert!(rig.log.until(20_000.0, first).await, "nobody was answered");
+    let first = rig.log.now();
+    // Counted from the first answer: before that nobody can know.
+    tokio::time::sleep(Duration::from_millis((6000.0 + GRACE) as u64)).await;
+    let (since, answered) = (rig.log.now(), told(&rig.log.events(), 5));
+    eprintln!("first answer {:.0} ms after the return, {answered} answered by then", first - back);
+    assert!(answered * 2 < RELAYS, "{answered} of {RELAYS} were answered: that proves nothing");
+    let plan =
+        sandgw_rig::clients::Plan { count: 200, over_ms: 2000.0, stay_ms: 300.0, ..Default::default() };
+    let results = rig.clients(plan).end(20_000.0).await;
+    assert!(results.all.served * 10 >= results.all.all() * 9, "{results:?}");
+    let events = rig.log.events();
+    assert_eq!(attempts(&events, "s000", since), 0, "a streamer that leaves was sent to");
+    assert!(attempts(&events, "s001", since) > 0);
+    let verdict = rig.verdict();
+    assert!(verdict.breaches.is_empty(), "{verdict}");
+}
