Force requests against the close of a resting connection, and resets behind a word

Seen: a reset that follows an end in order is not seen by who only reads, so the tests of closes could not tell whether what is unread was read out. Change: they ask the socket for its error as well, and a new one has a request, half a request and an end arrive with the relay stopped as the time of resting connections is up.

Ruled out: a fault there. A request that crosses is answered by ERR, never sent on.

--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -82,6 +82,11 @@
     SockRef::from(end.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
 }
 
+/// Whether a connection was reset, which who reads does not see where an end in order came first.
+fn was_reset(end: &Client) -> bool {
+    end.0.get_ref().take_error().unwrap().is_some()
+}
+
 /// All lines that still come, and how the connection ends.
 fn lines(end: &mut Client) -> Vec<String> {
     let mut lines = vec![end.line()];
@@ -379,6 +384,9 @@
         let heard = |ends: &[String]| ends == ["ERR", "(end)"] || ends == ["BUSY 1500", "(end)"];
         assert!(ends.iter().all(|e| heard(e)), "round {round}: {ends:?}");
         assert!(ends.iter().any(|e| e[0] == "BUSY 1500"), "round {round}: none made room");
+        thread::sleep(Duration::from_millis(100));
+        let resets = resting.iter().filter(|client| was_reset(client)).count();
+        assert_eq!(resets, 0, "round {round}: reset behind their word");
         drop(crowd);
     }
 }
@@ -582,3 +590,57 @@
         assert_eq!(client.line(), "UP 1");
     }
 }
+
+/// The time of connections that rest is up just as a request, half a request or their end arrives: each is answered,
+/// by a streamer or by the last word, and what was answered by that is not sent on.
+#[test]
+fn a_request_that_arrives_as_its_resting_connection_is_closed_is_answered() {
+    const PATIENCE: Duration = Duration::from_millis(2600);
+    let stand = Stand::start();
+    let before = Instant::now();
+    let mut clients: Vec<_> = (0..9).map(|_| stand.relay.client()).collect();
+    for client in &mut clients {
+        assert_eq!(client.send("PING\r\n").line(), "PONG");
+    }
+    let after = Instant::now();
+    thread::sleep((PATIENCE - Duration::from_millis(600)).saturating_sub(before.elapsed()));
+    stand.meanwhile(|| {
+        for (n, client) in clients.iter_mut().enumerate() {
+            let whole = format!("OPEN {n} 2 c=subtitle-stream,t=acme,d=5000\r\n");
+            match n % 3 {
+                0 => _ = client.send(&whole),
+                1 => _ = client.send(&whole[..20]),
+                _ => client.0.get_ref().shutdown(Shutdown::Write).unwrap(),
+            }
+        }
+        thread::sleep((PATIENCE + Duration::from_millis(200)).saturating_sub(after.elapsed()));
+    });
+    stand.listener.set_nonblocking(true).unwrap();
+    let (mut answers, mut streamers) = (Vec::new(), Vec::new());
+    for client in &mut clients {
+        client.0.get_ref().set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        let answer = loop {
+            match client.line().as_str() {
+                "(WouldBlock)" => {
+                    let Ok((stream, _)) = stand.listener.accept() else { continue };
+                    (&stream).write_all(b"UP 1\r\n").unwrap();
+                    streamers.push(stream);
+                }
+                answer => break answer.to_owned(),
+            }
+        };
+        answers.push((answer.clone(), if answer == "UP 1" { answer } else { client.line() }));
+    }
+    for (n, (answer, end)) in answers.iter().enumerate() {
+        let ends = end == "(end)";
+        match n % 3 {
+            0 => assert!(answer == "UP 1" || answer == "ERR" && ends, "{answers:?}"),
+            1 => assert!(answer == "ERR" && ends, "{answers:?}"),
+            _ => assert!(["ERR", "(end)"].contains(&answer.as_str()) && ends, "{answers:?}"),
+        }
+    }
+    thread::sleep(Duration::from_millis(300));
+    let up = answers.iter().filter(|(answer, _)| answer == "UP 1").count();
+    assert!(up == streamers.len() && stand.listener.accept().is_err(), "sent on without an answer");
+    assert!(!clients.iter().any(was_reset), "reset behind the last word");
+}
