Pace a relay's first send to a cold streamer from its own start too, evenly by its number

Points drawn by a hash came in heaps besides.

Lines at fault: `warm_enough`, `first` and `phase`.

Change: the point counts from the later of the streamer's and the relay's start, and points are spread evenly by the relays' numbers (`spread`, multiples of the golden section).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,7 @@
 use crate::interface::*;
 use crate::keys::*;
 use crate::memory::Memory;
-use crate::state::{Conn, Ledger, Mean, Pool, Recent, Sample, Server, Stage};
+use crate::state::{Conn, Ledger, Mean, Pool, Recent, Sample, Server, Stage, spread};
 
 /// A server may carry this multiple of its fair share before its keys overflow along the table.
 const BOUND: f64 = 1.25;
@@ -94,6 +94,8 @@
     leaving: bool,
     /// Own budget of cold servers: no new connection to any before.
     pub(crate) next_cold: Millis,
+    /// Own start, since when it is known what was sent.
+    began: Millis,
     /// Requests that wait for their turn.
     pub(crate) queue: BTreeSet<RequestId>,
     /// Requests taken and attempts beyond their first, within the budget's window.
@@ -105,7 +107,7 @@
     /// A balancer without any state but its settings. Its first event is the list as last held.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
         let memory = Memory::new(&settings, seed, now);
-        Balancer { settings, seed, memory, pace: Pace::new(now), ..Balancer::default() }
+        Balancer { settings, seed, memory, began: now, pace: Pace::new(now), ..Balancer::default() }
     }
 
     /// Takes one event and appends the actions that follow from it.
@@ -525,10 +527,11 @@
     fn warm_enough(&self, now: Millis, s: &Server, key: f64, pause: impl Fn() -> Millis) -> bool {
         let warmth = self.warmth(now, s);
         // The first send is paced too, at each balancer's own point of the pause: else all send one at once.
-        let phase = || fraction(xxh3_64_with_seed(&self.settings.me.to_le_bytes(), s.started.to_bits()));
+        let phase = || spread(xxh3_64_with_seed(&[], s.started.to_bits()), self.settings.me);
+        let start = s.started.max(self.began);
         // A start that lies far ahead is of a wrong clock: it says only that the server may be cold.
         let first =
-            || if s.started - now < self.settings.warm_within { s.started + phase() * pause() } else { now };
+            || if s.started - now < self.settings.warm_within { start + phase() * pause() } else { now };
         // Many balancers send one each now and then. The pace bounds them; a share of the keys besides
         // has all others crowd on the servers that are warm.
         let share = if self.settings.balancers > ALL_TOLD { 1.0 } else { warmth };
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 use sandgw_tier::census::{Tag, View};
 
 use crate::interface::*;
-use crate::keys::tag;
+use crate::keys::{fraction, tag};
 
 /// Slow messages are reported once a second; a server unmentioned for longer than this is calm.
 const SLOW_FOR: Millis = 1500.0;
@@ -51,6 +51,12 @@
     }
 }
 
+/// The point of a unit that falls to one number: all numbers are spread evenly, however many there are.
+pub(crate) fn spread(seed: u64, number: u32) -> f64 {
+    const GOLDEN: f64 = 0.618_033_988_75;
+    (fraction(seed) + f64::from(number) * GOLDEN).fract()
+}
+
 /// What is known of a server.
 pub(crate) struct Server {
     pub state: ServerState,
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1027,6 +1027,23 @@
     assert!(sent <= 3, "{sent} to a cold server in one moment");
 }
 
+/// The same for balancers that start anew beside a server that is still cold: what they have sent it before is forgotten,
+/// and each took its point of the pause to have long passed.
+#[test]
+fn many_balancers_that_start_anew_do_not_all_begin_with_a_cold_server_at_once() {
+    let mut list = ready(10);
+    list[0] = entry(0, ServerState::Ready, START - 15_000.0);
+    let mut sent = 0;
+    for me in 0..240 {
+        let mut world = World::new(Settings { balancers: 240, me, ..settings() }, &list);
+        for id in 1000..1010 {
+            world.ask(id, Some(0), None, &format!("d{me}-{id}"), 2000.0);
+            sent += usize::from(world.sends(id).contains(&server(0)));
+        }
+    }
+    assert!(sent <= 3, "{sent} to a cold server in one moment");
+}
+
 /// The list is late: a server that refused connections and answers again has just started.
 #[test]
 fn a_server_that_comes_back_is_taken_as_cold_before_the_list_says_so() {
