Open a flow's second descriptor only once who makes room for it has closed

Seen (tests/narrow.rs, a burst of flows in a full house): a flow that asks for its second descriptor told an idle connection to make room and went on at once; many that ask in the same moment held more descriptors than the limit until those told had closed.

Lines at fault: Seat::ask and Admission::clear in src/net/admission.rs counted who was told as gone.

Change: those on their way out are counted; ask returns once no more is taken than there is, or refuses where nobody can make room. A client's end is looked for after that wait.

Ruled out, each by a test with real processes that passes before too: 20 relays restarted together with discovery up, slow, down, mute or absent are ready in time, with and without a list; idle, half-spoken and lingering clients twice the limit keep neither the list call nor flows of either front from a descriptor; floods and drips are ended in time while flows are served.

--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection that has not asked for anything takes one, a flow two: its client's and its streamer's. Since
 //! nobody has to say anything to connect, those that have not asked only get what is left, and when nothing
-//! is, the one makes room of whom least is to be expected: progress tells, not age.
+//! is, the one makes room of whom least is to be expected: progress tells, not age. A descriptor is opened only once
+//! the one that makes room for it is closed, however many ask in the same moment.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -61,7 +62,11 @@
     next: Cell<u64>,
     /// Connections that are no flow, with what tells them to make room.
     idle: RefCell<BTreeMap<u64, (Progress, Rc<Notify>)>>,
+    /// Those that were told to make room and are not gone yet.
+    leaving: Cell<usize>,
     freed: Notify,
+    /// Tells flows that wait for their second descriptor to look again.
+    given_back: Notify,
 }
 
 impl Admission {
@@ -74,7 +79,9 @@
             flows: Cell::new(0),
             next: Cell::new(0),
             idle: RefCell::default(),
+            leaving: Cell::new(0),
             freed: Notify::new(),
+            given_back: Notify::new(),
         })
     }
 
@@ -83,6 +90,7 @@
         if self.others.replace(descriptors) > descriptors {
             // Whoever waits looks again.
             self.freed.notify_waiters();
+            self.given_back.notify_waiters();
         }
     }
 
@@ -134,18 +142,38 @@
         Seat { admission: self.clone(), id, flow: Cell::new(true), room: Rc::default() }
     }
 
-    /// Tells one of those that are no flow to make room.
+    /// Tells one of those that are no flow to make room, if there is any.
     pub fn clear(&self) {
         let (mut idle, now) = (self.idle.borrow_mut(), Instant::now());
         let first = idle.iter().min_by_key(|(_, (progress, _))| progress.order(now)).map(|(id, _)| *id);
         if let Some((_, room)) = first.and_then(|id| idle.remove(&id)) {
+            self.leaving.set(self.leaving.get() + 1);
             room.notify_one();
         }
     }
 
+    /// Waits until no more is taken than there is; whether that can be had.
+    async fn settled(&self) -> bool {
+        while self.used.get() > self.limit() {
+            if self.used.get() - self.leaving.get() > self.limit() {
+                self.clear();
+            }
+            if self.leaving.get() == 0 {
+                return false;
+            }
+            // Whoever is told leaves at once.
+            self.given_back.notified().await;
+        }
+        true
+    }
+
     fn release(&self, n: usize) {
         self.used.set(self.used.get() - n);
         self.freed.notify_one();
+        // Before that nothing has changed for them.
+        if self.used.get() <= self.limit() || self.leaving.get() == 0 {
+            self.given_back.notify_waiters();
+        }
     }
 }
 
@@ -169,8 +197,9 @@
         idle.entry(self.id).and_modify(|(progress, _)| *progress = Progress::now(begun));
     }
 
-    /// The connection asks to be placed and needs a descriptor for its forwards; whether it gets one.
-    pub fn ask(&self) -> bool {
+    /// The connection asks to be placed and needs a descriptor for its forwards; whether it gets one, which is free
+    /// once this returns.
+    pub async fn ask(&self) -> bool {
         let a = &self.admission;
         let most = a.most_flows();
         // One that was told to make room is on its way out.
@@ -180,10 +209,12 @@
         self.flow.set(true);
         a.flows.set(a.flows.get() + 1);
         a.used.set(a.used.get() + 1);
-        if a.used.get() > a.limit() {
-            a.clear();
+        if a.settled().await {
+            return true;
         }
-        true
+        // Another process of this relay holds what was to be had.
+        self.answered();
+        false
     }
 
     /// Whether hardly any flow more would get a descriptor.
@@ -206,7 +237,10 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         self.answered();
-        self.admission.idle.borrow_mut().remove(&self.id);
-        self.admission.release(1);
+        let a = &self.admission;
+        if a.idle.borrow_mut().remove(&self.id).is_none() {
+            a.leaving.set(a.leaving.get() - 1);
+        }
+        a.release(1);
     }
 }
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -154,15 +154,15 @@
                 }
             }
         };
+        if !self.seat.ask().await {
+            self.front.fixed(FixedResponse::Busy(self.shared.retry_after()), &mut self.reply);
+            return self.close().await;
+        }
         // Its end may have come with its line, before either was read: nothing is sent for it.
         if has_gone(&self.client, &mut self.input, self.front.speaks_early()) {
             self.front.fixed(FixedResponse::Failed, &mut self.reply);
             return self.close().await;
         }
-        if !self.seat.ask() {
-            self.front.fixed(FixedResponse::Busy(self.shared.retry_after()), &mut self.reply);
-            return self.close().await;
-        }
         arrival.descriptors_short = self.seat.is_short();
         let deadline = arrival.deadline;
         // The core takes it, and what comes of it is logged later.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -355,6 +355,19 @@
         until("it has stopped", || self.state() == 'T');
     }
 
+    /// Descriptors that it holds now.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Places for descriptors that it has ever needed at a time: the system doubles them, 64 being the least, and
+    /// takes none back.
+    pub fn descriptor_places(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("FDSize")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Asks the process to end, as a planned restart does.
     pub fn terminate(&self) {
         self.signal("TERM");
