--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -434,13 +434,26 @@
     assert!(word.starts_with("3121"), "{word}");
     drop(asker);
     // Who asks in form 1 hears nothing that form 1 has not.
-    let mut asker = fleet.successor("n0");
-    let heard = asker.hear_until(|m| matches!(m, Message::Whole));
-    assert!(!heard.iter().any(|m| matches!(m, Message::Forms { .. })));
+    let start = Instant::now();
+    let asker = loop {
+        // Until the link of before is let go, others are turned away.
+        let mut asker = fleet.successor("n0");
+        let heard = asker.hear_until(|m| matches!(m, Message::Whole | Message::Refused(_)));
+        assert!(!heard.iter().any(|m| matches!(m, Message::Forms { .. })));
+        if heard.last() == Some(&Message::Whole) {
+            break asker;
+        }
+        assert!(start.elapsed() < LONG, "{heard:?}");
+        thread::sleep(Duration::from_millis(10));
+    };
     drop(asker);
+    let offered = || std::fs::metadata(fleet.path()).and_then(|m| m.modified()).ok();
+    let before = offered();
     let next = fleet.relay.beside();
     until("it serves", || next.log().contains("this process serves"));
     assert!(next.log().contains("hand-over: in form 2"), "{}", next.log());
+    // It says so a moment before it can be asked itself: a path taken away until then would be taken back.
+    until("it offers", || offered().is_some_and(|at| Some(at) != before));
     // A running process of before refuses all forms but its own.
     std::fs::remove_file(fleet.path()).unwrap();
     let before = UnixListener::bind(fleet.path()).unwrap();
