--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -44,7 +44,9 @@
 
     /// Takes the next forward, whose first line the streamer has read.
     fn forward(&self) -> Client {
-        let stream = self.listener.accept().unwrap().0;
+        let stream = accepted(|| self.listener.set_nonblocking(true).and_then(|()| self.listener.accept()));
+        self.listener.set_nonblocking(false).unwrap();
+        stream.set_nonblocking(false).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
         stream.set_nodelay(true).unwrap();
         let mut streamer = Client(BufReader::new(stream));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -437,3 +437,15 @@
         thread::sleep(Duration::from_millis(5));
     }
 }
+
+/// The next connection of a listener that doesn't block; one that never comes fails the test, and does not hold it.
+pub fn accepted<S, A>(accept: impl Fn() -> std::io::Result<(S, A)>) -> S {
+    let start = Instant::now();
+    loop {
+        match accept() {
+            Ok((stream, _)) => return stream,
+            Err(e) => assert!(start.elapsed() < LONG, "nobody connects: {e}"),
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+}
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -459,7 +459,9 @@
     let before = UnixListener::bind(fleet.path()).unwrap();
     let new = fleet.relay.beside();
     for (form, why) in [(2, ANOTHER_FORM), (FORM, "enough")] {
-        let mut asker = Asker { stream: before.accept().unwrap().0, frames: Frames::default() };
+        let stream = accepted(|| before.set_nonblocking(true).and_then(|()| before.accept()));
+        stream.set_nonblocking(false).unwrap();
+        let mut asker = Asker { stream, frames: Frames::default() };
         assert_eq!(asker.hear(), Some(Message::Hello { form, name: "n0".into() }));
         asker.say(&Message::Refused(why.into()));
     }
