Time a broken watch by the stand-in's own record of calls in its test

Ruled out: the relay's pause. With 50 ms of sleep put into the test between its seeing the break and its count of calls the test fails each time: the relay has asked anew by then, the count holds that call already, and what is timed is the watch after it, which comes after the wait of 1 to 2.5 s.

At fault: the test read `Instant::now()` and `calls()` in its own thread, up to 5 ms and more after the break.

Change: the stand-in notes when each call came and, in the same moment in which its answer breaks, how many had; the test takes the time from the break to the next call from that record. The bound is the same, and the time runs from the break itself now, so it is stricter by what the test's thread took.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -57,7 +57,10 @@
 
 struct State {
     mode: Mode,
-    calls: usize,
+    /// When each call came.
+    calls: Vec<Instant>,
+    /// When the latest odd answer was begun, and how many calls had come by then.
+    odd: Option<(Instant, usize)>,
     /// When an answer was written whole, and up to which revision.
     told: Vec<(Instant, u64)>,
 }
@@ -73,7 +76,7 @@
 impl Service {
     fn start(list: &Discovery) -> Service {
         let address = format!("{}:8500", host());
-        let state = State { mode: Mode::Up, calls: 0, told: Vec::new() };
+        let state = State { mode: Mode::Up, calls: Vec::new(), odd: None, told: Vec::new() };
         let service = Service { address, list: list.clone(), state: Arc::new(Mutex::new(state)) };
         let (served, first) = (service.clone(), TcpListener::bind(&service.address).unwrap());
         thread::spawn(move || served.listen(first));
@@ -109,7 +112,20 @@
     }
 
     fn calls(&self) -> usize {
-        self.state.lock().unwrap().calls
+        self.state.lock().unwrap().calls.len()
+    }
+
+    /// The answer that begins now is the odd one, those after it are well.
+    fn well_again(&self) {
+        let mut state = self.state.lock().unwrap();
+        (state.mode, state.odd) = (Mode::Up, Some((Instant::now(), state.calls.len())));
+    }
+
+    /// How long after the latest odd answer was begun the next call came.
+    fn anew(&self) -> Option<Duration> {
+        let state = self.state.lock().unwrap();
+        let (odd, calls) = state.odd?;
+        state.calls.get(calls).map(|call| *call - odd)
     }
 
     /// When an answer with this revision, or a later one, was first written.
@@ -133,14 +149,14 @@
             text.split(|c: char| !c.is_ascii_digit()).next().unwrap_or("0").parse().unwrap_or(0)
         };
         let (after, wait) = (number("after="), Duration::from_millis(number("wait_ms=")));
-        self.state.lock().unwrap().calls += 1;
+        self.state.lock().unwrap().calls.push(Instant::now());
         let start = Instant::now();
         while self.mode() == Mode::Up && self.list.revision() <= after && start.elapsed() < wait {
             thread::sleep(Duration::from_millis(2));
         }
         let (mode, body, revision) = (self.mode(), self.list.json(after), self.list.revision());
         if matches!(mode, Mode::Odd(Odd::Reset)) {
-            self.set(Mode::Up);
+            self.well_again();
         }
         if matches!(mode, Mode::Refuses | Mode::Resets | Mode::Odd(Odd::Reset)) {
             return;
@@ -157,7 +173,7 @@
             Mode::Silent => String::new(),
             Mode::Trickles => sized(1 << 20) + "{",
             Mode::Odd(odd) => {
-                self.set(Mode::Up);
+                self.well_again();
                 match odd {
                     Odd::Indented => whole(&body.replace(',', ",\n  ").replace('{', "{\n    ")),
                     Odd::SecondBehind => whole(&body) + &whole(&self.list.json(0)),
@@ -356,9 +372,10 @@
         thread::sleep(Duration::from_millis(3500));
         service.set(Mode::Odd(odd));
         until("the watch is broken", || service.mode() == Mode::Up);
-        let (broken, calls) = (Instant::now(), service.calls());
-        until("it asks anew", || service.calls() > calls);
-        assert!(broken.elapsed() < Duration::from_millis(900), "{odd:?}: after {:?}", broken.elapsed());
+        // By the service's own record: the relay may have asked anew before this thread looks.
+        until("it asks anew", || service.anew().is_some());
+        let after = service.anew().unwrap();
+        assert!(after < Duration::from_millis(900), "{odd:?}: after {after:?}");
     }
     let revision = tier.drain();
     tier.told(Instant::now(), revision, TOLD);
