Test an RTMP client that leaves behind a full buffer, of each way to leave

Ruled out: a sleep, or much data and hope. The stand-in for the client sends 8,192 bytes and 1,000 more behind its connect, and goes on once the system's table says that just those 1,000 stand unread at the relay, while the attempt is out at a streamer that never answers; only then does it leave: by half, whole or by a reset.

Change: tests/rtmp.rs, a_client_that_leaves_behind_a_full_buffer_is_noticed. The attempt has to be given up within 5 s; who ends only the sending is answered. `Relay::replace_in_application` in tests/common (the time to give up is in the application's file).

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -337,6 +337,14 @@
         until("SIGHUP is heard", || read() > before);
     }
 
+    /// Replaces a part of the application's file, which is read with the next [`Relay::configure`].
+    pub fn replace_in_application(&self, old: &str, new: &str) {
+        let path = self.folder.path().join("app.toml");
+        let text = std::fs::read_to_string(&path).unwrap();
+        assert!(text.contains(old), "{old}");
+        std::fs::write(path, text.replace(old, new)).unwrap();
+    }
+
     /// What it has logged so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("log")).unwrap()
--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -335,6 +335,74 @@
     }
 }
 
+/// Most that the relay holds of a client that is not placed yet: what it sends besides stands in the system.
+const ROOM: usize = 8192;
+
+/// Bytes of a client that have arrived at the relay and were not read, by the system's table.
+fn unread(client: &TcpStream) -> usize {
+    let hex = |at: SocketAddr| {
+        let SocketAddr::V4(at) = at else { unreachable!() };
+        format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port())
+    };
+    let [relay, client] = [client.peer_addr().unwrap(), client.local_addr().unwrap()].map(hex);
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let mut rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let row = rows.find(|row| row.get(1) == Some(&&*relay) && row.get(2) == Some(&&*client));
+    let queue = row.and_then(|row| row.get(4)?.split_once(':').map(|(_, queue)| queue.to_owned()));
+    queue.map_or(0, |queue| usize::from_str_radix(&queue, 16).unwrap())
+}
+
+/// A client whose bytes there is no room for any more leaves while its attempt is out: its end stands behind what was
+/// not read, and is heard all the same. The attempt lasted until its time was up.
+#[test]
+fn a_client_that_leaves_behind_a_full_buffer_is_noticed() {
+    const BEHIND: usize = 1000;
+    let _alone = alone();
+    // It takes what comes and never answers.
+    let silent = Streamer::start(|mut stream, log| {
+        let mut buffer = [0; 4096];
+        let mut begun = false;
+        while stream.read(&mut buffer).is_ok_and(|n| n > 0) {
+            if !begun {
+                note(log, "begun");
+            }
+            begun = true;
+        }
+        note(log, "given up");
+    });
+    let seen = |log: &Log, what| log.lock().unwrap().iter().filter(|(_, text)| text == what).count();
+    let log = silent.log.clone();
+    let (_discovery, relay) = fleet(&[silent]);
+    // Attempts that last until all is forced.
+    relay.replace_in_application("[rtmp]", "[rtmp]\ngive_up_ms = 19000");
+    relay.configure(&relay.configuration().replace("\"aimMs\":500.0", "\"aimMs\":15000.0"));
+    for (n, way) in ["half", "whole", "reset"].into_iter().enumerate() {
+        let mut client = Peer::new(connect(&relay.rtmp), PeerType::Client, Duration::ZERO).unwrap();
+        let object = [("app".to_owned(), Amf0Value::Utf8String(format!("vod/{n}")))];
+        client.command("connect", 1.0, Amf0Value::Object(object.into()), Vec::new());
+        until("the attempt is out", || seen(&log, "begun") == n + 1);
+        client.stream.write_all(&[7; ROOM + BEHIND]).unwrap();
+        until("there is no more room", || unread(&client.stream) == BEHIND);
+        assert_eq!(seen(&log, "given up"), n, "{way}: it was given up before");
+        let left = Instant::now();
+        match way {
+            "half" => {
+                client.stream.shutdown(Shutdown::Write).unwrap();
+                let told = client.told();
+                assert!(told.starts_with("_error 1 "), "{told}");
+            }
+            "whole" => drop(client),
+            _ => {
+                socket2::SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).unwrap();
+                drop(client);
+            }
+        }
+        until(&format!("{way}: it is given up"), || seen(&log, "given up") == n + 1);
+        assert!(left.elapsed() < LONG / 4, "{way}: {:?}", left.elapsed());
+    }
+    assert_eq!(seen(&log, "begun"), 3);
+}
+
 /// A front that sends a flow's packets to another relay marks them; the streamer that holds the flow goes on
 /// where it was, and an unknown flow is reset.
 #[test]
