Tell an RTMP client to reconnect wherever its streamer is in a chunk

Seen: a client that was to be moved (standby, a drain, a hand-over) was closed without a word where its streamer hung in the middle of a chunk, or where its chunks never ended as a read did: half a chunk had been passed on, so that no message of the relay's own could be put in before its end, and after 500 ms the flow was ended all the same.

At fault: RtmpFront had no held(), so that what had come of a chunk was passed on at once; and in stand() a place between two chunks that lay in the buffer while a flow moved was passed over with the next read.

Now half a chunk of up to 4,096 bytes waits for its end, as half a line does (a client can't use it before), and a flow that moves keeps such a place once there is one. A streamer that hangs in a longer chunk still leaves no place.

--- a/src/front/rtmp/mod.rs
+++ b/src/front/rtmp/mod.rs
@@ -37,6 +37,8 @@
 /// RTMP has no message that is answered at once: a streamer that leaves bytes unacknowledged for so long
 /// has vanished.
 const SILENCE: Duration = Duration::from_secs(5);
+/// So much of a chunk waits for its end: the size that most streamers set, with the longest header.
+const HELD_BYTES: usize = 4096 + 18;
 /// Chunk size of a sender that has not set one.
 const FIRST_CHUNK: usize = 128;
 
@@ -357,6 +359,11 @@
         self.down.as_ref().ok().map(Reader::partial)
     }
 
+    fn held(&self) -> usize {
+        // Half a chunk is of no use to a client. Of a longer one there is no room to wait for the end.
+        self.partial().filter(|partial| *partial < HELD_BYTES).unwrap_or(0)
+    }
+
     fn unanswered_since(&self) -> Option<Millis> {
         None
     }
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -374,7 +374,13 @@
             }
             // The streamer's own word goes before the relay's.
             moving = moving.filter(|_| !down.eof || announced.is_none());
-            let held = if down.eof && !broken && moving.is_none() { 0 } else { self.front.held() };
+            // Of a flow that moves, a place at which its client can be told is kept once there is one.
+            let place = self.front.partial().filter(|partial| moving.is_some() && *partial <= down.len());
+            let held = match place {
+                Some(partial) => partial,
+                None if down.eof && !broken && moving.is_none() => 0,
+                None => self.front.held(),
+            };
             if down.flush(&self.client, held).is_err() {
                 ended(announced.unwrap_or(Outcome::Cancelled));
                 return reset(&streamer);
--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -514,6 +514,60 @@
     until("it is gone", || relay.call(b"status\n") == "done standby, 0 standing");
 }
 
+/// A streamer that takes a flow, has chunks of this size and then goes on as told.
+fn chunks(size: u32, goes_on: impl Fn(&TcpStream) + Send + Sync + 'static) -> Streamer {
+    Streamer::start(move |stream, log| {
+        let Some(mut peer) = Peer::new(stream, PeerType::Server, Duration::ZERO) else { return };
+        let _ = peer.receive();
+        let code = information(&[("code", "NetConnection.Connect.Success")]);
+        peer.command("_result", 1.0, Amf0Value::Null, code);
+        let packet = peer.writer.set_max_chunk_size(size, RtmpTimestamp::new(0)).unwrap();
+        peer.stream.write_all(&packet.bytes).unwrap();
+        goes_on(&peer.stream);
+        note(log, "said");
+        let _ = peer.stream.read(&mut [0; 64]);
+    })
+}
+
+/// A video message in one chunk.
+fn chunk(length: usize) -> Vec<u8> {
+    let [_, a, b, c] = (length as u32).to_be_bytes();
+    let mut chunk = vec![6, 0, 0, 0, a, b, c, 9, 1, 0, 0, 0];
+    chunk.resize(12 + length, 7);
+    chunk
+}
+
+/// Where the relay was in the middle of a chunk as its time for a move was up, no word could be put in and the client
+/// was cut off without one: of a streamer that hangs there, and of one whose chunks never end as reading does.
+#[test]
+fn a_flow_is_told_to_reconnect_wherever_its_streamer_is_in_a_chunk() {
+    let _alone = alone();
+    let hangs = |mut stream: &TcpStream| stream.write_all(&chunk(4000)[..3000]).unwrap();
+    let never_between = |mut stream: &TcpStream| {
+        let (start, whole) = (Instant::now(), chunk(60_000));
+        let turned = [&whole[20_000..], &whole[..20_000]].concat();
+        let _ = stream.write_all(&whole[..20_000]);
+        while start.elapsed() < LONG && stream.write_all(&turned).is_ok() {
+            thread::sleep(Duration::from_millis(20));
+        }
+    };
+    for (sender, goes_on) in [(chunks(4096, hangs), false), (chunks(65_536, never_between), true)] {
+        let log = sender.log.clone();
+        let (_discovery, relay) = fleet(&[sender]);
+        let (mut client, answer) = Peer::open(&relay, "vod/1", &[]);
+        assert!(answer.starts_with("_result"), "{answer}");
+        if goes_on {
+            client.number().unwrap();
+        } else {
+            until("it hangs", || !log.lock().unwrap().is_empty());
+        }
+        assert_eq!(relay.call(b"standby\n"), "done standby, 1 standing");
+        let told = client.told();
+        assert!(told.contains("NetConnection.Connect.ReconnectRequest"), "goes on: {goes_on}, {told}");
+        assert_eq!(client.told(), "(end)");
+    }
+}
+
 /// A flow whose chunks are not carried to the new process is told to reconnect, and the old one ends.
 #[test]
 fn a_hand_over_tells_a_flow_to_reconnect() {
