Give a flow that is handed over the sockets of its own message only

Seen: a new process that is out of descriptors gets none of a flow's two sockets: the system drops them. If the rest of that flow's message, longer than one read, comes together with the next flow, the first took the next flow's sockets for its own: lines of one client went to the streamer of another, and the second flow was lost.

Ruled out: messages of one read, which end before the next one's sockets come (a read ends behind the bytes that carry descriptors).

At fault: Link::take, which gave out descriptors in the order of their coming, whichever message they came with.

Now each is kept with how many bytes had been read by then, and belongs to the message that is whole first after that. A flow whose sockets found no room is lost, as before; nobody else is.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -138,6 +138,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// How many bytes have come of messages that are not whole.
+    pub fn rest(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// The next whole message, if it has come.
     pub fn message(&mut self) -> Result<Option<Message>, Malformed> {
         let Some(head) = self.bytes.first_chunk::<4>() else { return Ok(None) };
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,5 +1,6 @@
 //! Drives the hand-over between two processes of a relay: a Unix socket in a folder that both know.
 
+use std::collections::VecDeque;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -45,13 +46,19 @@
 struct Link {
     stream: UnixStream,
     frames: Frames,
-    /// Descriptors that came beside the messages, not taken yet.
-    sockets: Vec<OwnedFd>,
+    /// How many bytes were read.
+    read: u64,
+    /// Descriptors that came, each with how many bytes were read by then, until the message is whole that they came
+    /// with: a read ends behind the first bytes of that one.
+    sockets: VecDeque<(u64, OwnedFd)>,
+    /// Those that came with the latest message. They may be fewer than it names: where there is no room for one, the
+    /// system drops it.
+    beside: Vec<OwnedFd>,
 }
 
 impl Link {
     fn new(stream: UnixStream) -> Self {
-        Link { stream, frames: Frames::default(), sockets: Vec::new() }
+        Link { stream, frames: Frames::default(), read: 0, sockets: VecDeque::new(), beside: Vec::new() }
     }
 
     /// The next message. It loses nothing when dropped on the way.
@@ -59,6 +66,9 @@
         loop {
             let message = self.frames.message().map_err(|e| io::Error::other(e.to_string()))?;
             if let Some(message) = message {
+                let end = self.read - self.frames.rest() as u64;
+                let own = self.sockets.iter().take_while(|(at, _)| *at <= end).count();
+                self.beside = self.sockets.drain(..own).map(|(_, socket)| socket).collect();
                 return Ok(message);
             }
             self.stream.readable().await?;
@@ -75,9 +85,10 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                 Err(e) => return Err(e),
             };
+            self.read += read as u64;
             for part in control.drain() {
                 if let RecvAncillaryMessage::ScmRights(sockets) = part {
-                    self.sockets.extend(sockets);
+                    self.sockets.extend(sockets.map(|socket| (self.read, socket)));
                 }
             }
             self.sockets.truncate(2 * SOCKETS);
@@ -85,9 +96,9 @@
         }
     }
 
-    /// The first descriptors that came, so many at the most.
-    fn take(&mut self, most: usize) -> Vec<OwnedFd> {
-        self.sockets.drain(..most.min(self.sockets.len())).collect()
+    /// The descriptors that came with the latest message.
+    fn take(&mut self) -> Vec<OwnedFd> {
+        std::mem::take(&mut self.beside)
     }
 
     async fn send(&mut self, message: &Message, sockets: &[BorrowedFd<'_>]) -> io::Result<()> {
@@ -210,8 +221,7 @@
             }
             Message::Records(records) => restore(shared, records),
             Message::Sockets(keys) => {
-                let sockets = old.link.take(keys.len());
-                handed.extend(keys.into_iter().zip(sockets));
+                handed.extend(keys.into_iter().zip(old.link.take()));
             }
             // The list comes first: what was learned is of its streamers.
             Message::Carried(piece) => {
@@ -279,7 +289,7 @@
             Message::Held { descriptors } => shared.admission.set_others(descriptors as usize),
             Message::Records(records) => restore(&shared, records),
             Message::Flow { flow, front, up, down } => {
-                let passed = adopt(&shared, old.link.take(2), *flow, *front, (up, down));
+                let passed = adopt(&shared, old.link.take(), *flow, *front, (up, down));
                 if let Err(e) = passed {
                     warn!("hand-over: a flow is lost: {e}");
                 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -363,6 +363,16 @@
         until("it has stopped", || self.state() == 'T');
     }
 
+    /// From now on it gets no descriptor of this number or above.
+    pub fn limit_descriptors(&self, most: u64) {
+        use rustix::process::{Pid, Resource, Rlimit, prlimit};
+        let limits = std::fs::read_to_string(format!("/proc/{}/limits", self.child.id())).unwrap();
+        let files = limits.lines().find(|line| line.starts_with("Max open files")).unwrap();
+        let maximum = files.split_whitespace().nth(4).unwrap().parse().ok();
+        let pid = Pid::from_raw(self.child.id() as i32);
+        prlimit(pid, Resource::Nofile, Rlimit { current: Some(most), maximum }).unwrap();
+    }
+
     /// Descriptors that it holds now.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use std::io::{BufReader, Read, Write};
-use std::net::TcpListener;
+use std::io::{BufReader, IoSlice, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsFd;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
@@ -13,6 +15,7 @@
 
 use command_fds::{CommandFdExt, FdMapping};
 use common::*;
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
 use sandgw::handover::{ANOTHER_FORM, FORM, Frames, Message, encode};
 
 struct Fleet {
@@ -424,6 +427,81 @@
     until("it ends", || fleet.relay.has_ended());
 }
 
+/// Both ends of a connection: the relay's and the other side's.
+fn pair() -> (TcpStream, Client) {
+    let listener = TcpListener::bind((host(), 0)).unwrap();
+    let other = connect(&listener.local_addr().unwrap().to_string());
+    let own = listener.accept().unwrap().0;
+    own.set_nonblocking(true).unwrap();
+    (own, Client(BufReader::new(other)))
+}
+
+/// A running process as the next one sees it, which hands it the relay and stays.
+fn hands_over(listener: &UnixListener) -> UnixStream {
+    let stream = accepted(|| listener.set_nonblocking(true).and_then(|()| listener.accept()));
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    let mut asker = Asker { stream, frames: Frames::default() };
+    asker.hear_until(|m| matches!(m, Message::Hello { .. }));
+    asker.say(&Message::Whole);
+    asker.hear_until(|m| *m == Message::Take);
+    asker.say(&Message::Yield { descriptors: 0, standby: None, cold_in: 0.0 });
+    asker.hear_until(|m| *m == Message::Claim);
+    asker.say(&Message::Yours);
+    asker.stream
+}
+
+/// A standing flow's message.
+fn passed(id: &str, up: Vec<u8>) -> Vec<u8> {
+    let flow = serde_json::json!({"class": "subtitle-stream", "target": "s-1", "client": id, "group": null,
+        "load": null, "sent_away": true, "led_elsewhere": true});
+    let front = serde_json::json!({"id": id, "key": id, "word": [], "partial": 0, "announced": null,
+        "unanswered": null});
+    let (flow, front) = (serde_json::from_value(flow).unwrap(), serde_json::from_value(front).unwrap());
+    encode(&Message::Flow { flow: Box::new(flow), front: Box::new(front), up, down: Vec::new() })
+}
+
+fn send_with(link: &UnixStream, bytes: &[u8], sockets: [TcpStream; 2]) {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    let both = sockets.each_ref().map(AsFd::as_fd);
+    assert!(control.push(SendAncillaryMessage::ScmRights(&both)));
+    let sent = sendmsg(link, &[IoSlice::new(bytes)], &mut control, SendFlags::empty());
+    assert_eq!(sent, Ok(bytes.len()));
+}
+
+/// The new process has no descriptor left for a flow's sockets: that flow is lost. It was not: what its message left
+/// unsaid was read together with the next flow and its sockets, which the first took for its own.
+#[test]
+fn a_flow_whose_sockets_found_no_room_takes_nobody_elses() {
+    let (streamer, discovery) = (Streamer::lines("UP 1\r\n"), Discovery::start());
+    discovery.set("s-1", &streamer.address, "Ready", 0);
+    let folder = tempfile::tempdir().unwrap();
+    let listener = UnixListener::bind(folder.path().join("sandgw-handover")).unwrap();
+    let link = thread::spawn(move || hands_over(&listener));
+    let more = format!("[relay]\nhandover = {:?}\n", folder.path());
+    let new = Relay::start_more(&discovery, 1024, &[host()], 0, &more);
+    let mut link = link.join().unwrap();
+    // The first flow's message is longer than what is read at once, and its sockets come with its first bytes.
+    let [(client, mut first), (to_streamer, mut at_first)] = [pair(), pair()];
+    let message = passed("1", b"first\r\n".repeat(700));
+    new.limit_descriptors(3);
+    send_with(&link, &message[..3000], [client, to_streamer]);
+    assert!(first.line().starts_with('(') && at_first.line().starts_with('('), "its sockets were dropped");
+    new.limit_descriptors(1024);
+    let [(client, mut second), (to_streamer, mut at_second)] = [pair(), pair()];
+    new.freeze();
+    link.write_all(&message[3000..]).unwrap();
+    send_with(&link, &passed("2", Vec::new()), [client, to_streamer]);
+    new.signal("CONT");
+    second.send("second\r\n");
+    assert_eq!(at_second.line(), "second");
+    at_second.send("to the second\r\n");
+    assert_eq!(second.line(), "to the second");
+    assert!(new.log().contains("a flow is lost: it came without its sockets"), "{}", new.log());
+    assert_eq!(new.status(), "done active, 1 standing");
+}
+
 /// Two processes hand over in the newest form that both speak; who speaks the first only is asked again in that.
 #[test]
 fn a_hand_over_is_in_the_newest_form_that_both_speak() {
