Count a client that waits for a place, and let flows of the process before make room

Two faults round a full house.

Seen: a process that has handed over and was told to end asks whether anybody is here. A client that was accepted and waits for a place was not counted: if all who had places left in that moment, the process ended with that client's request. Admission::is_empty looked at places only; now it counts who waits as well.

Seen: a flow that came from the process before, has its last word and is waited for to close (half a second) can be the one that is told to make room. Now it makes room as any other does.

Ruled out: other long waits in Seat::ask. All others who are told leave at their next turn, so a client that leaves there, or whose time passes, is looked at a moment later, before its first attempt.

The steps that a test of before took in a hand-over are a function now, word for word.

--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -58,6 +58,8 @@
     most: usize,
     others: Cell<usize>,
     used: Cell<usize>,
+    /// Clients that were accepted and wait for a seat.
+    waiting: Cell<usize>,
     flows: Cell<usize>,
     next: Cell<u64>,
     /// Connections that are no flow, with what tells them to make room.
@@ -76,6 +78,7 @@
             most: descriptors.saturating_sub(OWN + more).max(OWN),
             others: Cell::new(0),
             used: Cell::new(0),
+            waiting: Cell::new(0),
             flows: Cell::new(0),
             next: Cell::new(0),
             idle: RefCell::default(),
@@ -101,7 +104,7 @@
 
     /// Whether no client is here.
     pub fn is_empty(&self) -> bool {
-        self.used.get() == 0
+        self.used.get() == 0 && self.waiting.get() == 0
     }
 
     fn limit(&self) -> usize {
@@ -115,11 +118,13 @@
 
     /// A seat for a client that was just accepted, once there is one.
     pub async fn seat(self: &Rc<Self>) -> Seat {
+        self.waiting.set(self.waiting.get() + 1);
         while self.used.get() >= self.limit() {
             // Flows leave room for others, so somebody is there or already on the way out.
             self.clear();
             self.freed.notified().await;
         }
+        self.waiting.set(self.waiting.get() - 1);
         self.used.set(self.used.get() + 1);
         let seat = Seat {
             admission: self.clone(),
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -80,8 +80,15 @@
     shared.flows.borrow_mut().insert(id, sender);
     let _registered = Registered { shared: shared.clone(), id };
     shared.settle();
+    let room = seat.room();
     let mut session = Session { shared, client, front, input, reply, seat, answered: true };
-    if let Err(e) = session.stand(id, streamer, first, &mut commands).await {
+    let ended = tokio::select! {
+        biased;
+        // Once it has ended, it may be told to while it is waited for to close.
+        () = room.notified() => session.make_room(),
+        ended = session.stand(id, streamer, first, &mut commands) => ended,
+    };
+    if let Err(e) = ended {
         debug!("client: {e}");
     }
 }
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -553,6 +553,21 @@
     assert_eq!((client.line(), streamer.line()), ("to the client".into(), "to the streamer".into()));
 }
 
+/// Hears what a process that hands over says, up to this.
+fn hear_until(link: &mut UnixStream, frames: &mut Frames, last: fn(&Message) -> bool) {
+    loop {
+        while let Some(message) = frames.message().unwrap() {
+            if last(&message) {
+                return;
+            }
+        }
+        let mut bytes = [0; 4096];
+        let n = link.read(&mut bytes).unwrap();
+        assert!(n > 0, "the link breaks");
+        frames.feed(&bytes[..n]);
+    }
+}
+
 /// SIGTERM between the steps of a hand-over that then fails: who came to the queue meanwhile is served by the old
 /// process.
 #[test]
@@ -561,23 +576,10 @@
     let mut link = UnixStream::connect(folder.path().join("sandgw-handover")).unwrap();
     link.set_read_timeout(Some(LONG)).unwrap();
     let mut frames = Frames::default();
-    let mut hear_until = |link: &mut UnixStream, last: fn(&Message) -> bool| {
-        loop {
-            while let Some(message) = frames.message().unwrap() {
-                if last(&message) {
-                    return;
-                }
-            }
-            let mut bytes = [0; 4096];
-            let n = link.read(&mut bytes).unwrap();
-            assert!(n > 0, "the link breaks");
-            frames.feed(&bytes[..n]);
-        }
-    };
     link.write_all(&encode(&Message::Hello { form: FORM, name: "n0".into() })).unwrap();
-    hear_until(&mut link, |m| *m == Message::Whole);
+    hear_until(&mut link, &mut frames, |m| *m == Message::Whole);
     link.write_all(&encode(&Message::Take)).unwrap();
-    hear_until(&mut link, |m| matches!(m, Message::Yield { .. }));
+    hear_until(&mut link, &mut frames, |m| matches!(m, Message::Yield { .. }));
     // Nobody accepts now.
     let mut clients: Vec<_> = (0..3).map(|_| stand.relay.client()).collect();
     clients[0].open("");
@@ -594,6 +596,91 @@
     }
 }
 
+/// Places of a process that may hold this many descriptors and can hand over.
+const SOCKETS: u32 = 72;
+const PLACES: usize = 32;
+
+/// A process that was told to end has accepted a client that waits for a place, just as all who have one leave and the
+/// last step of a hand-over arrives: it took itself for empty and ended with the client unread.
+#[test]
+fn a_client_that_waits_for_a_place_keeps_a_process_that_has_handed_over() {
+    for _ in 0..3 {
+        let folder = tempfile::tempdir().unwrap();
+        let more = format!("[relay]\nhandover = {:?}\n", folder.path());
+        let stand = Stand::start_limited("true", SOCKETS, &more);
+        until("it can be found", || folder.path().join("sandgw-handover").exists());
+        let before = stand.relay.descriptors();
+        let clients: Vec<_> = (0..PLACES).map(|_| stand.relay.client()).collect();
+        until("all places are taken", || stand.relay.descriptors() >= before + PLACES);
+        let mut link = UnixStream::connect(folder.path().join("sandgw-handover")).unwrap();
+        link.set_read_timeout(Some(LONG)).unwrap();
+        let mut frames = Frames::default();
+        link.write_all(&encode(&Message::Hello { form: FORM, name: "n0".into() })).unwrap();
+        hear_until(&mut link, &mut frames, |m| *m == Message::Whole);
+        stand.relay.terminate();
+        until("it is heard", || stand.relay.log().contains("SIGTERM"));
+        let mut last = stand.meanwhile(|| {
+            let mut last = stand.relay.client();
+            last.open("");
+            drop(clients);
+            link.write_all(&[encode(&Message::Take), encode(&Message::Claim)].concat()).unwrap();
+            last
+        });
+        hear_until(&mut link, &mut frames, |m| *m == Message::Yours);
+        let _streamer = forwards(&stand, 1);
+        assert_eq!(last.line(), "UP 1");
+    }
+}
+
+/// A flow that came from the process before has its last word and is waited for to close, in a full house: it makes room
+/// at once for one that asks. Nobody told it, and who asked waited for as long as it might take to close.
+#[test]
+fn a_flow_of_the_process_before_that_has_ended_makes_room() {
+    /// How long it is waited for, and from when on it is the first to make room.
+    const LINGERS: Duration = Duration::from_millis(500);
+    const RESTS: Duration = Duration::from_millis(120);
+    let mut least = LINGERS;
+    forced(3, || {
+        let folder = tempfile::tempdir().unwrap();
+        let more = format!("[relay]\nhandover = {:?}\n", folder.path());
+        let stand = Stand::start_limited("true", SOCKETS, &more);
+        until("it can be found", || folder.path().join("sandgw-handover").exists());
+        let flows: Vec<_> = (0..10).map(|_| stand.flow()).collect();
+        let new = stand.relay.beside();
+        until("the new process serves", || new.status().starts_with("done active"));
+        stand.relay.terminate();
+        until("the old process ends", || stand.relay.has_ended());
+        until("all are here", || new.status() == "done active, 10 standing");
+        let half = |n: usize| {
+            let mut client = new.client();
+            client.send(&format!("OPEN {n} 2 c=subtitle-stream,t=acme,"));
+            client
+        };
+        let mut halves: Vec<_> = (20..PLACES).map(half).collect();
+        let start = Instant::now();
+        let ends = flows.into_iter().map(|(mut client, mut streamer)| {
+            streamer.send("BYE\r\n");
+            reset(streamer);
+            assert_eq!(lines(&mut client), ["BYE", "(end)"]);
+            client
+        });
+        // None of them closes.
+        let _ended: Vec<_> = ends.collect();
+        halves.extend((PLACES..PLACES + 10).map(half));
+        thread::sleep(RESTS);
+        let asks = Instant::now();
+        halves[0].send("d=5000\r\n");
+        let mut streamer = stand.forward();
+        let took = asks.elapsed();
+        streamer.send("UP 1\r\n");
+        assert_eq!(halves[0].line(), "UP 1");
+        let crosses = asks - start < LINGERS / 2;
+        least = if crosses { least.min(took) } else { least };
+        crosses
+    });
+    assert!(least < LINGERS / 5, "asked for after {least:?}");
+}
+
 /// The time of connections that rest is up just as a request, half a request or their end arrives: a whole request is
 /// served, and all else is answered by the last word and not sent on.
 #[test]
