--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -609,9 +609,9 @@
         let more = format!("[relay]\nhandover = {:?}\n", folder.path());
         let stand = Stand::start_limited("true", SOCKETS, &more);
         until("it can be found", || folder.path().join("sandgw-handover").exists());
-        let before = stand.relay.descriptors();
-        let clients: Vec<_> = (0..PLACES).map(|_| stand.relay.client()).collect();
-        until("all places are taken", || stand.relay.descriptors() >= before + PLACES);
+        let mut clients: Vec<_> = (0..PLACES).map(|_| stand.relay.client()).collect();
+        // All are there, and hold all places.
+        clients.iter_mut().for_each(|client| assert_eq!(client.send("PING\r\n").line(), "PONG"));
         let mut link = UnixStream::connect(folder.path().join("sandgw-handover")).unwrap();
         link.set_read_timeout(Some(LONG)).unwrap();
         let mut frames = Frames::default();
--- a/tests/narrow.rs
+++ b/tests/narrow.rs
@@ -20,8 +20,7 @@
 /// When a bad client has its error or is closed on.
 const ENDED: Duration = Duration::from_secs(3);
 
-/// These tests load the machine: one at a time. Besides, a process starts with as many places for descriptors as
-/// this one holds then.
+/// These tests load the machine: one at a time.
 fn alone() -> MutexGuard<'static, ()> {
     static ONE: Mutex<()> = Mutex::new(());
     ONE.lock().unwrap_or_else(PoisonError::into_inner)
@@ -239,48 +238,6 @@
     filled(64);
 }
 
-/// All who are heard ask in the same moment: each flow takes a second descriptor, which somebody else has to give
-/// back first. The process is stopped for so long that it reads all of them at once. Gives how many were served, and
-/// the process, which is told that it may hold so many and is held to `limit`; of one that is held to more, what it
-/// takes beyond what it is told is seen.
-fn burst(sockets: usize, limit: usize) -> (usize, Relay) {
-    let streamer = Streamer::lines("UP 1\r\n");
-    let discovery = Discovery::start();
-    discovery.set("s-1", &streamer.address, "Ready", 0);
-    let relay =
-        Relay::start_limited(&discovery, &format!("ulimit -n {limit}"), sockets as u32, &[host()], 0, "");
-    let at_start = relay.descriptor_places();
-    let mut clients: Vec<_> = (0..sockets).map(|_| relay.client()).collect();
-    until("the house is full", || relay.descriptors() > sockets * 3 / 4);
-    thread::sleep(Duration::from_millis(300));
-    relay.signal("STOP");
-    // The longest silent, who are to make room, speak last.
-    for client in clients.iter_mut().rev() {
-        client.open("");
-    }
-    relay.signal("CONT");
-    let answers: Vec<_> = clients.iter_mut().map(Client::line).collect();
-    let served = answers.iter().filter(|answer| *answer == "UP 1").count();
-    assert!(served > sockets / 4, "{served} served: {answers:?}");
-    let places = relay.descriptor_places();
-    // Where more is held than told, what is taken beyond that shows.
-    assert!(limit <= sockets || at_start <= sockets, "{at_start} places at the start");
-    assert!(limit <= sockets || places <= sockets, "{places} places for {sockets}");
-    (served, relay)
-}
-
-#[test]
-fn a_burst_of_flows_in_a_full_house_takes_no_more_than_there_is() {
-    const SOCKETS: usize = 256;
-    let _alone = alone();
-    let (free, relay) = burst(SOCKETS, 4 * SOCKETS);
-    drop(relay);
-    let (held, relay) = burst(SOCKETS, SOCKETS);
-    assert!(held + 5 > free, "{held} served with {SOCKETS}, {free} with more");
-    let log = relay.log();
-    assert!(!log.contains("accept:") && !log.contains("os error 24"), "{log}");
-}
-
 /// Far more clients come together than there is room for, and have asked before the first is heard: who makes room for the
 /// next is answered as well, and not closed on without a word.
 #[test]
@@ -304,6 +261,37 @@
     assert_eq!(unanswered, 0, "of {}: {answers:?}", answers.len());
 }
 
+/// In a full house clients ask and leave in one breath: they wait for a descriptor that somebody else has to give back,
+/// and are gone by then. Each is answered at once, and nothing is sent for them.
+#[test]
+fn clients_that_leave_as_they_wait_for_a_descriptor_are_answered_and_not_placed() {
+    const PLACES: usize = 32;
+    let _alone = alone();
+    let streamer = Streamer::lines("UP 1\r\n");
+    let discovery = Discovery::start();
+    discovery.set("s-1", &streamer.address, "Ready", 0);
+    let relay = Relay::start_limited(&discovery, "ulimit -n 1024", 64, &[host()], 0, "");
+    let mut clients: Vec<_> = (0..PLACES).map(|_| relay.client()).collect();
+    // All are there, and hold all places.
+    clients.iter_mut().for_each(|client| assert_eq!(client.send("PING\r\n").line(), "PONG"));
+    relay.freeze();
+    for client in clients.iter_mut().rev().take(PLACES / 2) {
+        client.open(",g=gone");
+        client.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+    relay.signal("CONT");
+    let start = Instant::now();
+    for client in clients.iter_mut().rev().take(PLACES / 2) {
+        let answer = client.line();
+        assert!(answer == "ERR" || answer == "BUSY 1500", "{answer}");
+        assert_eq!(client.line(), "(end)");
+    }
+    assert!(start.elapsed() < SLACK, "answered after {:?}", start.elapsed());
+    assert!(is_final(&relay.client().open(",g=after").line()));
+    let seen = streamer.seen();
+    assert!(!seen.iter().any(|line| line.contains("g=gone")), "{seen:?}");
+}
+
 /// Those who send megabytes at once, a byte a second, or nothing until they are ended get their error or are closed on
 /// in time; meanwhile flows are served.
 #[test]
