Bound each cold streamer by its own pace too, and spread first sends over it

Two causes, by who sends what when: - 20 and 30 relays: all of a relay's turns fall on one streamer. The first points lie within the shared pause, which is short where several streamers are cold: after it each relay has a turn left, and a storm takes them all within a second.

Ruled out: even points are no worse than drawn ones.

Lines at fault: `warm_enough`, `first` and the last line.

Change: a relay's first point lies within the streamer's own pause, up to the warm-up's length, where that is longer than the shared one; after a send to it the streamer waits for at least 0.4 of its own pause. The shared pace stays. `cold_pause` takes the servers it is for; `Server::sent` is new.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -441,7 +441,7 @@
         }
         self.ledger.carry(now, self.settings.warm_within);
         if self.warmth(now, &self.ledger.servers[&server]) < 1.0 {
-            self.next_cold = now + self.cold_pause(now);
+            self.next_cold = now + self.cold_pause(now, &self.ring);
         }
         self.ledger.send(id, server.clone(), now);
         self.pace.sent(now, self.seed);
@@ -468,7 +468,8 @@
         }
         let id = |i: &usize| &self.ring[walk[*i]];
         let server = |i: &usize| &self.ledger.servers[id(i)];
-        let (key, pause) = (unit(&conn.request.client_key()), LazyCell::new(|| self.cold_pause(now)));
+        let (key, pause) =
+            (unit(&conn.request.client_key()), LazyCell::new(|| self.cold_pause(now, &self.ring)));
         let may = |i: &usize| {
             let s = server(i);
             let remembers = match (repeat, &conn.ran) {
@@ -476,7 +477,7 @@
                 (Repeat::Keyed { group: RepeatGroup::Cell, .. }, Some((_, _, cell))) => s.cell == *cell,
                 _ => true,
             };
-            remembers && !conn.tried.contains(id(i)) && self.warm_enough(now, s, key, || *pause)
+            remembers && !conn.tried.contains(id(i)) && self.warm_enough(now, id(i), key, || *pause)
         };
         let mut up: Vec<usize> = (0..walk.len()).filter(may).collect();
         let first = up.first().map(|i| id(i).clone());
@@ -523,26 +524,27 @@
         (from + (1.0 - from) * age).clamp(from, 1.0)
     }
 
-    /// A cold server takes a share of the keys that grows as it warms, at the pace of all cold servers.
-    fn warm_enough(&self, now: Millis, s: &Server, key: f64, pause: impl Fn() -> Millis) -> bool {
-        let warmth = self.warmth(now, s);
-        // The first send is paced too, at each balancer's own point of the pause: else all send one at once.
+    /// A cold server takes a share of the keys that grows as it warms, at the pace of all and 2.5 times its own.
+    fn warm_enough(&self, now: Millis, id: &ServerId, key: f64, pause: impl Fn() -> Millis) -> bool {
+        let s = &self.ledger.servers[id];
+        let (warmth, within) = (self.warmth(now, s), self.settings.warm_within);
+        let own = || self.cold_pause(now, std::slice::from_ref(id));
+        // The first send is paced too, at each balancer's own point: else all send at once, or in a storm.
         let phase = || spread(xxh3_64_with_seed(&[], s.started.to_bits()), self.settings.me);
-        let start = s.started.max(self.began);
+        let first = || s.started.max(self.began) + phase() * own().min(within).max(pause());
         // A start that lies far ahead is of a wrong clock: it says only that the server may be cold.
-        let first =
-            || if s.started - now < self.settings.warm_within { start + phase() * pause() } else { now };
+        let first = || if s.started - now < within { first() } else { now };
         // Many balancers send one each now and then. The pace bounds them; a share of the keys besides
         // has all others crowd on the servers that are warm.
         let share = if self.settings.balancers > ALL_TOLD { 1.0 } else { warmth };
-        warmth >= 1.0 || (key < share && now >= self.next_cold.max(first()))
+        warmth >= 1.0 || (key < share && now >= self.next_cold.max(first()).max(s.sent + own() / 2.5))
     }
 
-    /// Pause between own sends to cold servers: as the others are filled, in the time that they take to warm,
-    /// and more slowly the colder they are. All balancers see like shares: the sum keeps the fall rule. One
-    /// budget for all of them: split by server it would be less than one connection in the whole warm-up.
-    fn cold_pause(&self, now: Millis) -> Millis {
-        let each = self.ring.iter().map(|id| &self.ledger.servers[id]);
+    /// Pause between own sends to those of these that are cold: as the others are filled, in the time that they
+    /// take to warm, more slowly the colder they are. All balancers see like shares: the sum keeps the fall rule.
+    /// Split by server it would be under one connection a warm-up; all of one budget may fall on one server.
+    fn cold_pause(&self, now: Millis, of: &[ServerId]) -> Millis {
+        let each = of.iter().map(|id| &self.ledger.servers[id]);
         let warmths = each.map(|s| (s.weight, self.warmth(now, s))).filter(|(_, warmth)| *warmth < 1.0);
         let cold: f64 = warmths.map(|(weight, warmth)| weight * warmth).sum();
         let usual = self.ledger.carried.max(1.0) * cold / self.weights.max(f64::MIN_POSITIVE);
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,8 @@
     /// Own connections there, open or being set up, and their load.
     pub conns: BTreeSet<RequestId>,
     pub load: f64,
+    /// When a connection was last sent there from here.
+    pub sent: Millis,
     /// Load of all balancers there, as last told, with the own since.
     pub told: f64,
     /// Most own load that it seemed to manage when its messages were last slow.
@@ -98,6 +100,7 @@
             cell: e.cell,
             conns: BTreeSet::new(),
             load: 0.0,
+            sent: f64::NEG_INFINITY,
             told: 0.0,
             cap: f64::INFINITY,
             slow_at: f64::NEG_INFINITY,
@@ -359,6 +362,7 @@
             conn.attempts += 1;
             conn.sent = now;
         }
+        self.servers.entry(server.clone()).and_modify(|s| s.sent = now);
         self.stage(id, Stage::Trying);
         self.hold(id, server);
     }
