--- a/src/rules.rs
+++ b/src/rules.rs
@@ -524,7 +524,7 @@
         (from + (1.0 - from) * age).clamp(from, 1.0)
     }
 
-    /// A cold server takes a share of the keys that grows as it warms, at the pace of all and 2.5 times its own.
+    /// A cold server takes a share of the keys that grows as it warms, at the pace of all, 2.5 times its own.
     fn warm_enough(&self, now: Millis, id: &ServerId, key: f64, pause: impl Fn() -> Millis) -> bool {
         let s = &self.ledger.servers[id];
         let (warmth, within) = (self.warmth(now, s), self.settings.warm_within);
@@ -540,9 +540,9 @@
         warmth >= 1.0 || (key < share && now >= self.next_cold.max(first()).max(s.sent + own() / 2.5))
     }
 
-    /// Pause between own sends to those of these that are cold: as the others are filled, in the time that they
-    /// take to warm, more slowly the colder they are. All balancers see like shares: the sum keeps the fall rule.
-    /// Split by server it would be under one connection a warm-up; all of one budget may fall on one server.
+    /// Pause between own sends to the cold ones of these: as others are filled, in the time that they take to
+    /// warm, more slowly the colder they are. All balancers see like shares: the sum keeps the fall rule. Split
+    /// by server it would be under one connection a warm-up; all of one budget may fall on one server.
     fn cold_pause(&self, now: Millis, of: &[ServerId]) -> Millis {
         let each = of.iter().map(|id| &self.ledger.servers[id]);
         let warmths = each.map(|s| (s.weight, self.warmth(now, s))).filter(|(_, warmth)| *warmth < 1.0);
