--- a/src/rules.rs
+++ b/src/rules.rs
@@ -540,9 +540,9 @@
         warmth >= 1.0 || (key < share && now >= self.next_cold.max(first()).max(s.sent + own() / 2.5))
     }
 
-    /// Pause between own sends to the cold ones of these: as others are filled, in the time that they take to
-    /// warm, more slowly the colder they are. All balancers see like shares: the sum keeps the fall rule. Split
-    /// by server it would be under one connection a warm-up; all of one budget may fall on one server.
+    /// Pause between own sends to the cold ones of these: as others are filled, in the time that they take
+    /// to warm, more slowly the colder they are. All balancers see like shares: the sum keeps the fall rule.
+    /// Split by server it would be under one connection a warm-up; all of one budget may fall on one server.
     fn cold_pause(&self, now: Millis, of: &[ServerId]) -> Millis {
         let each = of.iter().map(|id| &self.ledger.servers[id]);
         let warmths = each.map(|s| (s.weight, self.warmth(now, s))).filter(|(_, warmth)| *warmth < 1.0);
