--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -73,6 +73,8 @@
     pub mid_flow: (u64, u64),
     /// The most that came to a cold streamer within the window, as a share of its budget.
     pub coldest: f64,
+    /// The longest that the rig's own thread stood still: what came meanwhile is noted in one moment. It excuses nothing.
+    pub stalled_ms: Millis,
 }
 
 impl Verdict {
@@ -93,6 +95,7 @@
         }
         let (all, found) = self.mid_flow;
         writeln!(f, "mid-flow: {all}, found at once {found}")?;
+        writeln!(f, "the rig itself stood still for {:.0} ms at most", self.stalled_ms)?;
         write!(f, "{}", self.shares)?;
         let mut served = self.served.iter();
         served.try_for_each(|((c, t), (n, all))| writeln!(f, "{c} {t}: served {n} of {all}"))
@@ -114,6 +117,10 @@
     let (cold, coldest) = case.fail_back();
     verdict.breaches.extend(cold);
     verdict.coldest = coldest;
+    verdict.stalled_ms = events
+        .iter()
+        .filter_map(|e| if let What::Stalled { ms } = e.what { Some(ms) } else { None })
+        .fold(0.0, f64::max);
     verdict
 }
 
--- a/crates/rig/src/log.rs
+++ b/crates/rig/src/log.rs
@@ -177,6 +177,11 @@
         /// It has just started, by its entry.
         fresh: bool,
     },
+    /// The rig's own thread has stood still until now: what came meanwhile is noted only after it.
+    Stalled {
+        /// For how long.
+        ms: Millis,
+    },
     /// A relay calls discovery.
     Called {
         /// Which relay.
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -4,10 +4,14 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
 use crate::clients::{Clients, Front, Plan as Crowd};
 use crate::discovery::{Discovery, Entry, Service};
 use crate::judge::{Verdict, judge};
 use crate::links::{Fate, Mesh};
+use crate::log::What;
 use crate::process::{Plan, Relay};
 use crate::script::{Fault, Script};
 use crate::settings::{Rules, settings};
@@ -82,10 +86,15 @@
     pub fleet: Fleet,
     /// The front.
     pub front: Arc<Front>,
+    /// What looks after the rig's own thread.
+    _watch: JoinSet<()>,
 }
 
 /// Descriptors beside those for relays; each client takes two or three while it stands.
 const OWN: u64 = 1000;
+/// How often it is looked whether the rig's own thread goes on, and how late that is noted.
+const TICK: Millis = 20.0;
+const STALL: Millis = 50.0;
 
 impl Rig {
     /// Sets everything up but starts no relay. To be called within a runtime.
@@ -99,9 +108,7 @@
             if n == size.warm && size.known {
                 known = discovery.whole(None);
             }
-            let zone = ["a", "b", "c", "d"][n % 4].into();
-            let id = format!("s{n:03}").into();
-            let model = Model { id, zone, size: 1.0, rate: size.rate, places: size.places };
+            let model = model(&size, n);
             let cold = n >= size.warm;
             let address = fleet.add(model.clone(), cold).await?;
             discovery.list(entry(&model, address, cold));
@@ -120,7 +127,9 @@
         }
         let listens: Vec<_> = relays.iter().map(|r| r.plan.listen).collect();
         let front = Arc::new(Front::new(&listens, &log));
-        Ok(Rig { size, log, relays, mesh, discovery, fleet, front })
+        let mut watch = JoinSet::new();
+        watch.spawn(stalls(log.clone()));
+        Ok(Rig { size, log, relays, mesh, discovery, fleet, front, _watch: watch })
     }
 
     /// Starts all relays, evenly over so many milliseconds.
@@ -179,6 +188,11 @@
                 self.discovery.phase(&id, "Gone");
             }
             Fault::StreamerStarts(n) => self.streamer_starts(*n).await?,
+            Fault::StreamerJoins => {
+                let model = model(&self.size, self.fleet.ids().len());
+                let address = self.fleet.add(model.clone(), true).await?;
+                self.discovery.list(entry(&model, address, true));
+            }
         }
         Ok(())
     }
@@ -212,6 +226,24 @@
     }
 }
 
+/// Notes when the thread of all stand-ins has stood still.
+async fn stalls(log: Log) {
+    loop {
+        let before = log.now();
+        sleep(span(TICK)).await;
+        let ms = log.now() - before - TICK;
+        if ms > STALL {
+            log.note(What::Stalled { ms });
+        }
+    }
+}
+
+/// The streamer of this number.
+fn model(size: &Size, n: usize) -> Model {
+    let zone = ["a", "b", "c", "d"][n % 4].into();
+    Model { id: format!("s{n:03}").into(), zone, size: 1.0, rate: size.rate, places: size.places }
+}
+
 fn entry(model: &Model, address: std::net::SocketAddr, fresh: bool) -> Entry {
     let up_since = if fresh { unix_ms() } else { 0 };
     let (id, zone) = (model.id.clone(), model.zone.clone());
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -51,6 +51,8 @@
     StreamerDies(usize),
     /// It starts again, cold.
     StreamerStarts(usize),
+    /// A streamer that was never there starts, cold, behind all others in their order.
+    StreamerJoins,
 }
 
 /// What is to be drawn.
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -165,6 +165,11 @@
 }
 
 fn play(careless: Careless) -> Verdict {
+    play_with(careless, None)
+}
+
+/// The same, and the rig's own thread had stood still for so long in the middle of what came to the cold streamer.
+fn play_with(careless: Careless, stall: Option<f64>) -> Verdict {
     let mut play = Play { careless, now: 10.0, next: 0, log: Vec::new() };
     let streamers = ["a1", "a2", "b1"];
     streamers.iter().zip(1..).for_each(|(id, revision)| play.listed(revision, id, "Ready", false));
@@ -172,7 +177,10 @@
     play.answers();
     play.repeats();
     play.drains();
+    let before = play.now;
     play.fails_back();
+    play.log.extend(stall.map(|ms| Event { at: (before + play.now) / 2.0, what: What::Stalled { ms } }));
+    play.log.sort_by(|a, b| a.at.total_cmp(&b.at));
     play.now += 5000.0;
     play.note(What::Ready(0));
     let classes = HashMap::from([
@@ -212,6 +220,20 @@
     }
 }
 
+/// What came while the rig could not look is noted in one moment: the verdict says so, and excuses nothing for it.
+#[test]
+fn a_stall_of_the_rig_is_told_and_excuses_nothing() {
+    for careless in [Nothing, Floods] {
+        let verdict = play_with(careless, Some(500.0));
+        assert_eq!(
+            (verdict.stalled_ms, verdict.kept(Rule::FailBack)),
+            (500.0, careless == Nothing),
+            "{verdict}"
+        );
+        assert!(verdict.to_string().contains("stood still for 500 ms"), "{verdict}");
+    }
+}
+
 #[test]
 fn what_a_relay_could_not_know_is_not_its_breach() {
     let untold = |change: &dyn Fn(&mut Vec<Event>)| {
--- a/crates/rig/tests/stand_ins.rs
+++ b/crates/rig/tests/stand_ins.rs
@@ -5,10 +5,10 @@
 
 use sandgw_rig::discovery::{Discovery, Entry, Service, Stop, Style};
 use sandgw_rig::links::{Fate, Mesh, Passage, TcpLink};
-use sandgw_rig::log::What;
+use sandgw_rig::log::{Event, What};
 use sandgw_rig::settings::Rules;
 use sandgw_rig::streamers::{Fleet, Model};
-use sandgw_rig::{Log, host, span};
+use sandgw_rig::{Log, Rig, Size, host, span};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::timeout;
@@ -92,6 +92,16 @@
     assert!(!silent.is_finished());
 }
 
+#[tokio::test]
+async fn a_rig_notes_that_its_own_thread_stood_still() {
+    // No relay is started.
+    let rig = Rig::new(Size::new("none", 1, 1)).await.unwrap();
+    tokio::time::sleep(span(100.0)).await;
+    std::thread::sleep(Duration::from_millis(400));
+    let noted = |e: &Event| matches!(e.what, What::Stalled { ms } if ms >= 300.0);
+    assert!(rig.log.until(10_000.0, |events| events.iter().any(noted)).await);
+}
+
 #[tokio::test]
 async fn each_pair_has_a_link_of_its_own_each_way() {
     let log = Log::default();
