Let the common pace to cold streamers be 1.35 now that each has its own besides

At fault: COLD_PACE, 1.2, was set when nothing but it bounded one streamer; with the own pace on top cold ones fill too slowly.

Change: 1.35.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,7 +50,7 @@
 /// Where no budget is stated.
 const UNLIMITED: Budget = Budget { window: 0.0, free: f64::INFINITY, share: 0.0 };
 /// Own pace to cold servers, as a multiple of what fills them: few are ready to send when they may.
-const COLD_PACE: f64 = 1.2;
+const COLD_PACE: f64 = 1.35;
 /// Clients that a leaving server does not send away itself are told within this of the notice, in steps.
 const LEAVE_WITHIN: Millis = 1000.0;
 const LEAVE_STEP: Millis = 100.0;
