Look up warm servers once in a choice, and set the time of a send without a copy of its name

Seen in reading the whole change again: warm_enough looked each server of the walk up by its name once more, warm ones too, which are most of them; Ledger::send copied the name for a look-up that needs none; two closures had one name; tests/cold.rs said that clients come as fast as the streamers bear, where 40 a second come and 36 are borne.

Change: warm servers are passed before warm_enough, which is for cold ones only now; no decision is another.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -477,7 +477,8 @@
                 (Repeat::Keyed { group: RepeatGroup::Cell, .. }, Some((_, _, cell))) => s.cell == *cell,
                 _ => true,
             };
-            remembers && !conn.tried.contains(id(i)) && self.warm_enough(now, id(i), key, || *pause)
+            let warm = self.warmth(now, s) >= 1.0 || self.warm_enough(now, id(i), key, || *pause);
+            remembers && !conn.tried.contains(id(i)) && warm
         };
         let mut up: Vec<usize> = (0..walk.len()).filter(may).collect();
         let first = up.first().map(|i| id(i).clone());
@@ -531,13 +532,13 @@
         let own = || self.cold_pause(now, std::slice::from_ref(id));
         // The first send is paced too, at each balancer's own point: else all send at once, or in a storm.
         let phase = || spread(xxh3_64_with_seed(&[], s.started.to_bits()), self.settings.me);
-        let first = || s.started.max(self.began) + phase() * own().min(within).max(pause());
+        let point = || s.started.max(self.began) + phase() * own().min(within).max(pause());
         // A start that lies far ahead is of a wrong clock: it says only that the server may be cold.
-        let first = || if s.started - now < within { first() } else { now };
+        let first = || if s.started - now < within { point() } else { now };
         // Many balancers send one each now and then. The pace bounds them; a share of the keys besides
         // has all others crowd on the servers that are warm.
         let share = if self.settings.balancers > ALL_TOLD { 1.0 } else { warmth };
-        warmth >= 1.0 || (key < share && now >= self.next_cold.max(first()).max(s.sent + own() / 2.5))
+        key < share && now >= self.next_cold.max(first()).max(s.sent + own() / 2.5)
     }
 
     /// Pause between own sends to the cold ones of these: as others are filled, in the time that they take
--- a/src/state.rs
+++ b/src/state.rs
@@ -362,7 +362,9 @@
             conn.attempts += 1;
             conn.sent = now;
         }
-        self.servers.entry(server.clone()).and_modify(|s| s.sent = now);
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.sent = now;
+        }
         self.stage(id, Stage::Trying);
         self.hold(id, server);
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -10,9 +10,8 @@
 
 /// Streamers at the start, all of them warm.
 const WARM: usize = 6;
-/// Set-ups a second that a warm streamer bears, by which its cold budget goes, and the clients that come a second: as
-/// many as the streamers bear when all of them are warm, so that one that is cold is well over its budget if it gets its
-/// share of them.
+/// Set-ups a second that a warm streamer bears, by which its cold budget goes, and the clients that come a second: a
+/// little more than those bear, so that one that is cold is well over its budget if it gets its share of them.
 const CAPACITY: f64 = 6.0;
 const CLIENTS: f64 = 40.0;
 const LENGTH: f64 = 15_000.0;
