--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -261,6 +261,44 @@
     insta::assert_debug_snapshot!((answer, client.told()));
 }
 
+/// A streamer that has refused a flow takes it some milliseconds later, or in the same breath: nobody gets that answer,
+/// whatever other flows are placed meanwhile.
+#[test]
+fn a_second_answer_reaches_nobody() {
+    let _alone = alone();
+    for gap in [Duration::ZERO, Duration::from_millis(15)] {
+        let bad = Streamer::start(move |stream, log| {
+            let Some(mut peer) = Peer::new(stream, PeerType::Server, Duration::ZERO) else { return };
+            if peer.receive().is_err() {
+                return;
+            }
+            note(log, "asked");
+            let more = |code| information(&[("code", code), ("streamer", "bad")]);
+            peer.command("_error", 1.0, Amf0Value::Null, more("NetConnection.Connect.Failed"));
+            thread::sleep(gap);
+            peer.command("_result", 1.0, Amf0Value::Null, more("NetConnection.Connect.Success"));
+            let _ = peer.receive();
+        });
+        let streamers = [bad, streamer("good", TAKES, PACE)];
+        let (_discovery, relay) = fleet(&streamers);
+        let mut served = 0;
+        for group in 0..4 {
+            let open = || Peer::open(&relay, &format!("vod/{group}"), &[]).1;
+            let answers = thread::scope(|scope| {
+                let all: Vec<_> = (0..3).map(|_| scope.spawn(open)).collect();
+                all.into_iter().map(|one| one.join().unwrap()).collect::<Vec<_>>()
+            });
+            for answer in answers {
+                // A refusal is the relay's own: neither answer of that streamer is passed on.
+                assert!(!answer.contains("\"bad\""), "{gap:?}: {answer}");
+                assert!(answer.starts_with("_error") || answer.contains("\"good\""), "{gap:?}: {answer}");
+                served += usize::from(answer.starts_with("_result"));
+            }
+        }
+        assert!(served > 4 && !streamers[0].seen().is_empty(), "{gap:?}: {served} served");
+    }
+}
+
 /// The time to give up runs from accept: a handshake that eats the set-up time leaves the rest for placing,
 /// and one that stalls is answered before the client gives up.
 #[test]
