Force answers against the end of their attempts, and resets long after a request has begun

Seen in going through the hard cases: neither crossing had a test of its own on sockets.

Ruled out: that an answer which has arrived as its attempt is given up leaves two streamers for one client, or none let go of (the process is stopped until both are there); that a request is tried again after a reset a second later where it may not be: unsafe, or past its window of 500 ms. Safe ones are, once.

--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -375,3 +375,96 @@
         );
     }
 }
+
+/// Answers arrive as their attempts are given up for being late, and the process sees both at once: each client has one
+/// answer, and stands at one streamer at the most.
+#[test]
+fn an_answer_that_crosses_the_end_of_its_attempt_leaves_nothing_behind() {
+    let answer = Gate::default();
+    let answers = answer.clone();
+    let echoes = |name: &'static str, late: Option<Gate>| {
+        Streamer::start(move |stream, log| {
+            let mut reader = BufReader::new(&stream);
+            let mut line = String::new();
+            let _ = reader.read_line(&mut line);
+            note(log, line.trim_end());
+            late.iter().for_each(Gate::pass);
+            let _ = (&stream).write_all(format!("UP {name}\r\n").as_bytes());
+            note(log, "answered");
+            line.clear();
+            while reader.read_line(&mut line).is_ok_and(|n| n > 0) {
+                let _ = (&stream).write_all(format!("{name} {line}").as_bytes());
+                line.clear();
+            }
+            note(log, "end");
+        })
+    };
+    let (first, second) = (echoes("1", Some(answers)), echoes("2", None));
+    let discovery = Discovery::start();
+    discovery.set("s-1", &first.address, "Ready", 0);
+    discovery.set("s-2", &second.address, "Ready", 0);
+    // The wanted time is the usual 500 ms.
+    let relay = Relay::start(&discovery);
+    let mut clients: Vec<_> = (0..24).map(|_| relay.client()).collect();
+    for (group, client) in clients.iter_mut().enumerate() {
+        client.send(&line_with(3000, &format!(",g={group}")));
+    }
+    until("all are at either", || opens(&first.seen()) + opens(&second.seen()) >= 24);
+    relay.freeze();
+    let out = opens(&first.seen());
+    answer.open();
+    until("all are answered", || first.seen().iter().filter(|l| *l == "answered").count() >= out);
+    thread::sleep(Duration::from_millis(700));
+    relay.signal("CONT");
+    let mut at = [0, 0];
+    for client in &mut clients {
+        match client.line().as_str() {
+            "UP 1" => at[0] += usize::from(client.send("mine\r\n").line() == "1 mine"),
+            "UP 2" => at[1] += usize::from(client.send("mine\r\n").line() == "2 mine"),
+            other => assert!(other == "ERR" || other.starts_with("BUSY"), "{other}"),
+        }
+    }
+    let ended = |s: &Streamer| s.seen().iter().filter(|l| *l == "end").count();
+    for (streamer, here) in [(&first, at[0]), (&second, at[1])] {
+        until("all others are let go of", || opens(&streamer.seen()) - ended(streamer) == here);
+    }
+    assert!(out > 2 && at[0] + at[1] > 12, "{out} were out, {at:?} stand");
+}
+
+/// A streamer resets a request long after it has begun: it is tried again only where that may be, and once.
+#[test]
+fn a_reset_long_after_a_request_has_begun_is_repeated_only_where_it_may_be() {
+    let window = "\"semantics\":\"keyed\",\"group\":\"all\",\"windowMs\":500.0";
+    for (semantics, answer) in
+        [("\"semantics\":\"safe\"", "UP 2"), ("\"semantics\":\"unsafe\"", "ERR"), (window, "ERR")]
+    {
+        let reset = Gate::default();
+        let resets = reset.clone();
+        let first = Streamer::start(move |stream, log| {
+            let mut line = String::new();
+            let _ = BufReader::new(&stream).read_line(&mut line);
+            note(log, line.trim_end());
+            resets.pass();
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        });
+        let second = Streamer::lines("UP 2\r\n");
+        let discovery = Discovery::start();
+        discovery.set("s-1", &first.address, "Ready", 0);
+        let relay = with(&discovery, &[PATIENT[0], PATIENT[1], ("\"semantics\":\"safe\"", semantics)]);
+        let mut clients: Vec<_> = (0..4).map(|_| relay.client()).collect();
+        clients.iter_mut().for_each(|c| {
+            c.send(&line_with(8000, ""));
+        });
+        until("all have begun", || opens(&first.seen()) == 4);
+        discovery.set("s-1", &first.address, "Terminating", 0);
+        discovery.set("s-2", &second.address, "Ready", 0);
+        // Past the window.
+        thread::sleep(Duration::from_millis(1000));
+        reset.open();
+        for client in &mut clients {
+            assert_eq!(client.line(), answer, "{semantics}");
+        }
+        let again = if answer == "ERR" { 0 } else { 4 };
+        assert_eq!((opens(&first.seen()), opens(&second.seen())), (4, again), "{semantics}");
+    }
+}
