Hold connections back while no answer of discovery vouches for the list

Cause: a process starts with the list of its last run, of unknown age, and placed connections by it until its first poll, which is spread over up to 5 s where relays may not message each other. No call failed, so the logs were silent.

Change: crates/cluster/src/list_lease.rs: an answer vouches for the list for 6 s, the time after which a change counts as known; the list of the last run has no lease. Without one no attempt starts; a request waits within its latency objective and is then rejected. PING gets STARTING until the first poll has ended, and that poll comes within 1.5 s. An unreachable discovery extends the lease. Binds only for polled relays without messages between them.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod concurrency_limit;
 pub mod drain_gossip;
+pub mod list_lease;
 pub mod load_aggregation;
 pub mod location_gossip;
 pub mod overload_gossip;
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -108,7 +108,12 @@
 
     /// How long the call that was made last may take.
     pub fn timeout(&self) -> Millis {
-        if self.wait > 0.0 { self.wait + ANSWER_GRACE_MS } else { LIST_TIMEOUT_MS }
+        if self.is_watch() { self.wait + ANSWER_GRACE_MS } else { LIST_TIMEOUT_MS }
+    }
+
+    /// Whether the call that was made last is a watch, which discovery may hold.
+    pub fn is_watch(&self) -> bool {
+        self.wait > 0.0
     }
 
     /// The call that is out has failed. Changes are asked for without a wait next, which shows at once
--- a/src/listener/line/mod.rs
+++ b/src/listener/line/mod.rs
@@ -204,6 +204,7 @@
 fn ping_reply(mode: ServingMode) -> &'static [u8] {
     match mode {
         ServingMode::Active => b"PONG\r\n",
+        ServingMode::Starting => b"STARTING\r\n",
         ServingMode::Standby => b"STANDBY\r\n",
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,6 +3,7 @@
 //! The answers go to the core; when a call follows a failed one is decided by `crate::discovery` and by the
 //! core. Each call has a connection of its own.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -21,6 +22,9 @@
 /// Otherwise a service that answers calls and breaks every subscription would be called without end.
 const MIN_RENEWAL_INTERVAL_MS: Millis = 3000.0;
 
+/// A call that fails sooner than this after it was made did not wait for its turn: there is no service.
+const MIN_QUEUED_MS: Millis = 100.0;
+
 /// The entries of an answer.
 struct ListAnswer {
     kind: ListKind,
@@ -30,12 +34,34 @@
 /// How a call has ended.
 enum CallEnd {
     Answered(ListAnswer),
-    Failed(CallError),
+    Failed(FailedCall),
     /// Discovery is at another address: the call is given up, since it would go on for seconds at the old
     /// one.
     AddressChanged,
 }
 
+/// A call without a list.
+struct FailedCall {
+    error: CallError,
+    /// Whether the call was a watch.
+    is_watch: bool,
+    /// The connection came up.
+    has_connected: bool,
+    elapsed: Millis,
+}
+
+impl FailedCall {
+    /// Whether discovery could not be reached: the connection did not come up or was turned away at once,
+    /// or a call that discovery was not to hold had no answer at all. One that is turned away after a wait
+    /// has reached a service that is crowded.
+    fn shows_outage(&self) -> bool {
+        let is_turned_away =
+            matches!(self.error, CallError::Io(_) | CallError::Cut(_) | CallError::Status(_));
+        let is_unanswered = matches!(self.error, CallError::Late) && !self.is_watch;
+        !self.has_connected || is_turned_away && self.elapsed < MIN_QUEUED_MS || is_unanswered
+    }
+}
+
 /// What follows a call.
 #[derive(PartialEq)]
 enum NextStep {
@@ -84,14 +110,21 @@
         let address = self.shared.config.borrow().discovery;
         let request = self.shared.endpoint_list.borrow_mut().next_request();
         let limit = span(self.shared.endpoint_list.borrow().timeout());
+        let is_watch = self.shared.endpoint_list.borrow().is_watch();
         let requested_at = self.shared.clock.now();
+        let has_connected = Cell::new(false);
         let ended = tokio::select! {
             biased;
             () = self.shared.discovery_address_changed.notified() => CallEnd::AddressChanged,
-            answer = timeout(limit, call(&self.shared, address, &request)) => {
+            answer = timeout(limit, call(&self.shared, address, &request, &has_connected)) => {
                 match answer.unwrap_or(Err(CallError::Late)) {
                     Ok(answer) => CallEnd::Answered(answer),
-                    Err(e) => CallEnd::Failed(e),
+                    Err(error) => CallEnd::Failed(FailedCall {
+                        error,
+                        is_watch,
+                        has_connected: has_connected.get(),
+                        elapsed: self.shared.clock.now() - requested_at,
+                    }),
                 }
             }
         };
@@ -105,10 +138,16 @@
                 self.handle_answer(answer, requested_at);
                 NextStep::CallAgain
             }
-            CallEnd::Failed(e) => {
-                let elapsed = self.shared.clock.now() - requested_at;
-                warn!("discovery at {address}: {e}, after {elapsed:.0} ms; {}", e.help());
-                self.handle_failure(&e).await
+            CallEnd::Failed(failed) => {
+                let FailedCall { error, elapsed, .. } = &failed;
+                warn!("discovery at {address}: {error}, after {elapsed:.0} ms; {}", error.help());
+                let poll_failed = if failed.shows_outage() {
+                    Relay::discovery_unreachable
+                } else {
+                    Relay::discovery_poll_failed
+                };
+                self.shared.core(poll_failed);
+                self.handle_failure(&failed.error).await
             }
         }
     }
@@ -121,6 +160,7 @@
             debug!("list: {} {:?} size {} in {}", entry.id.0, entry.state, entry.weight, entry.zone.0);
         }
         self.shared.handle_list_update(kind, entries, requested_at);
+        self.shared.core(Relay::discovery_answered);
     }
 
     async fn handle_failure(&mut self, error: &CallError) -> NextStep {
@@ -156,9 +196,16 @@
     }
 }
 
-async fn call(shared: &Shared, address: SocketAddr, path: &str) -> Result<ListAnswer, CallError> {
+/// Calls discovery; says beside the answer whether the connection has come up.
+async fn call(
+    shared: &Shared,
+    address: SocketAddr,
+    path: &str,
+    has_connected: &Cell<bool>,
+) -> Result<ListAnswer, CallError> {
     // A connection for each call: a reused one that discovery has dropped would fail a call needlessly.
     let stream = TcpStream::connect(address).await?;
+    has_connected.set(true);
     let body = fetch(stream, &address.to_string(), path).await?;
     let (kind, entries) = shared.endpoint_list.borrow_mut().apply_answer(&body)?;
     Ok(ListAnswer { kind, entries })
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -162,6 +162,7 @@
     }
     let seed = shared.config.borrow().seed;
     shared.endpoint_list.borrow_mut().reseed(seed);
+    shared.core(Relay::track_list_lease);
 }
 
 /// Takes over from the predecessor process. Where it breaks the link, it is asked again if it still runs.
--- a/src/net/takeover/successor.rs
+++ b/src/net/takeover/successor.rs
@@ -179,7 +179,8 @@
     shared.core(|relay, now| match revision {
         Some(revision) => {
             let answer = DiscoveryAnswer { revision, requested_at: now, is_full: true };
-            relay.apply_discovery_answer(now, answer, entries)
+            relay.apply_discovery_answer(now, answer, entries);
+            relay.discovery_answered(now);
         }
         None => relay.apply_list(now, ListKind::Full, entries),
     });
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -12,7 +12,8 @@
 //!    attempts;
 //! 2. its turn at the concurrency limit is not expected before a set-up would be too late
 //!    ([`LoadBalancer::hold_for_turn`]);
-//! 3. no endpoint may take it within its latency objective ([`LoadBalancer::wait_for_endpoint`]).
+//! 3. no endpoint may take it within its latency objective, or the list may not be used so long
+//!    ([`LoadBalancer::wait_for_endpoint`], [`LoadBalancer::wait_for_list`]).
 //!
 //! It is a rejection where a retry of the client is harmless, else a failure. Elsewhere: a connection that
 //! ends without its client's doing fails (`attempt_outcome`); the core rejects requests of tenants over
@@ -48,6 +49,9 @@
             return;
         }
         let Some(tracked) = self.queued(id) else { return };
+        if !self.may_use_list(now, tracked) {
+            return self.wait_for_list(now, id, &permission, actions);
+        }
         match self.select_endpoint(now, tracked, self.idempotency(&tracked.request)) {
             Some(endpoint) => self.start_attempt(now, id, endpoint, permission.begin_by, actions),
             None => self.wait_for_endpoint(now, id, &permission, actions),
@@ -78,6 +82,12 @@
         });
     }
 
+    /// Whether the list may be used for this request's attempt. Its endpoints may have left otherwise, which
+    /// is no harm to a connection that continues mid-flow: the one that holds it serves it while it drains.
+    fn may_use_list(&self, now: Millis, tracked: &TrackedRequest) -> bool {
+        now <= self.list_valid_until || tracked.continues_mid_flow()
+    }
+
     fn queued(&self, id: RequestId) -> Option<&TrackedRequest> {
         self.placements.requests.by_id.get(&id).filter(|tracked| tracked.stage == Stage::Pending)
     }
@@ -128,6 +138,32 @@
         true
     }
 
+    /// The list may not be used until discovery has answered. It is waited for within the latency objective;
+    /// beyond that nothing says when it will: the client is answered at once.
+    fn wait_for_list(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        permission: &AttemptPermission,
+        actions: &mut Actions,
+    ) {
+        let Some(tracked) = self.placements.requests.by_id.get(&id) else { return };
+        let until = tracked.arrived_at + self.latency_objective(tracked);
+        if now >= until {
+            return self.answer_finally(id, permission.is_safe_to_reject, actions);
+        }
+        self.awaiting_list.insert(id);
+        actions.push(Action::SetTimer { after: until - now, token: id.0 });
+    }
+
+    /// The list may be used until another time: requests that wait for it are looked at again.
+    pub(super) fn handle_list_lease(&mut self, now: Millis, valid_until: Millis, actions: &mut Actions) {
+        self.list_valid_until = valid_until;
+        for id in std::mem::take(&mut self.awaiting_list) {
+            self.dispatch(now, id, 0.0, actions);
+        }
+    }
+
     /// No endpoint may take the request. One that is ejected, warming up or at its load limit may do so
     /// soon, and those that failed the request may be tried again; beyond the latency objective nothing
     /// says that one will: the client is answered at once.
--- a/src/policy/api/events.rs
+++ b/src/policy/api/events.rs
@@ -29,6 +29,8 @@
         /// The entries.
         endpoints: Vec<EndpointEntry>,
     },
+    /// Until when the list may be used for new attempts, in ms; without this event for ever.
+    ListValidUntil(Millis),
     /// A request arrived.
     Request(Request),
     /// A connection that was routed through here before the start.
--- a/src/policy/cluster_state.rs
+++ b/src/policy/cluster_state.rs
@@ -306,6 +306,7 @@
         position: position(settings),
         first_backoff: settings.connect_timeout,
         max_interval: settings.list_max_age / MAX_POLL_INTERVAL_DIVISOR,
+        drain_gossip: settings.peer_messages,
     }
 }
 
--- a/src/policy/load_balancer.rs
+++ b/src/policy/load_balancer.rs
@@ -41,10 +41,14 @@
     pub(super) settings: Settings,
     /// What random numbers go on from.
     pub(super) random_state: u64,
+    /// Until when the list may be used for new attempts.
+    pub(super) list_valid_until: Millis,
     /// Endpoints, requests, and which is placed where.
     pub(crate) placements: Placements,
     /// Requests that wait for their turn.
     pub(crate) queue: BTreeSet<RequestId>,
+    /// Requests that wait until the list may be used.
+    pub(super) awaiting_list: BTreeSet<RequestId>,
     /// Which endpoints serve which group.
     pub(super) assignment: GroupAssignment,
     /// Own arrivals by group.
@@ -78,6 +82,7 @@
             cluster: ClusterState::new(&settings, seed, now),
             settings,
             random_state: seed,
+            list_valid_until: f64::INFINITY,
             concurrency_limit: ConcurrencyLimit::new(now),
             slow_start: SlowStart { relay_started_at: now, ..SlowStart::default() },
             ..LoadBalancer::default()
@@ -90,6 +95,7 @@
             Event::Settings(settings) => self.handle_settings(*settings, actions),
             Event::List { kind: ListKind::Failed, .. } => self.cluster.list_poll_failed(now),
             Event::List { kind, endpoints } => self.handle_list(now, kind, endpoints, actions),
+            Event::ListValidUntil(end) => self.handle_list_lease(now, end, actions),
             Event::Request(request) => self.handle_request(now, request, actions),
             Event::ExistingConnection { request, endpoint } => {
                 self.handle_existing_connection(now, request, endpoint);
@@ -222,6 +228,7 @@
     pub(super) fn forget(&mut self, id: RequestId) {
         self.placements.remove(id);
         self.queue.remove(&id);
+        self.awaiting_list.remove(&id);
     }
 
     /// A request's class, where the settings name it.
--- a/src/relay/endpoints.rs
+++ b/src/relay/endpoints.rs
@@ -177,6 +177,7 @@
     pub fn tick(&mut self, now: Millis) {
         let slow = self.endpoints.take_slow(self.slow_round_trip_ms);
         self.log_quota_rejections();
+        self.log_list_lease(now);
         for endpoint in slow {
             self.report_slow_endpoint(endpoint);
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod drain_exchange;
 mod endpoints;
 mod incoming;
+mod list_lease;
 mod migration_schedule;
 pub mod operator_calls;
 mod peer_messages;
@@ -41,6 +42,7 @@
 use self::classes::ClassTable;
 use self::connections::ConnectionTable;
 use self::endpoints::{EndpointTable, slow_round_trip_ms};
+use self::list_lease::ListLeaseState;
 use self::quota_accounting::QuotaAccounting;
 use self::standby::StandbyState;
 use self::timers::CoreTimer;
@@ -55,6 +57,7 @@
     endpoints: EndpointTable,
     /// Whether a list of endpoints has been given.
     has_endpoint_list: bool,
+    list_lease: ListLeaseState,
     standby: StandbyState,
     quota: QuotaAccounting,
     /// Endpoints that drain or were removed, by the list or by other relays' messages.
@@ -81,6 +84,7 @@
             connections: ConnectionTable::default(),
             endpoints: EndpointTable::default(),
             has_endpoint_list: false,
+            list_lease: ListLeaseState::default(),
             standby: StandbyState::default(),
             quota: QuotaAccounting::new(&settings, now),
             drain_gossip: DrainGossip::new(seed),
@@ -109,6 +113,7 @@
         self.apply_quota_settings(now, &settings);
         self.events.push_back(Event::Settings(Box::new(settings)));
         self.handle_queued_events(now);
+        self.apply_list_lease(now);
     }
 
     /// Classes that requests may name.
--- a/src/relay/standby.rs
+++ b/src/relay/standby.rs
@@ -19,6 +19,8 @@
     /// It accepts requests.
     #[default]
     Active,
+    /// Its first poll of discovery has not ended: its health checks say that it is not ready.
+    Starting,
     /// Its health checks say that it wants no new clients.
     Standby,
 }
@@ -27,6 +29,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             ServingMode::Active => "active",
+            ServingMode::Starting => "starting",
             ServingMode::Standby => "standby",
         })
     }
@@ -46,7 +49,13 @@
 impl Relay {
     /// What it does for new clients.
     pub fn serving_mode(&self) -> ServingMode {
-        if self.standby.since.is_some() { ServingMode::Standby } else { ServingMode::Active }
+        if self.standby.since.is_some() {
+            ServingMode::Standby
+        } else if self.awaits_first_poll() {
+            ServingMode::Starting
+        } else {
+            ServingMode::Active
+        }
     }
 
     /// Goes on standby: wants no new clients, and migrates connections that can't stay. A second call
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -56,6 +56,11 @@
         discovery
     }
 
+    /// The same list, for a relay that asks for it at another address.
+    pub fn asked_at(&self, address: &str) -> Discovery {
+        Discovery { address: address.to_owned(), list: self.list.clone() }
+    }
+
     /// Changes or adds an entry; tells when.
     pub fn set(&self, id: &str, address: &str, phase: &str, up_since: u64) -> Instant {
         self.set_in(id, address, phase, up_since, "a")
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -522,3 +522,32 @@
     tier.told(back, revision, TOLD);
     println!("told {:?} after the return", service.told(revision).unwrap() - back);
 }
+
+/// Guards against a relay that starts and sends by the list of its last run to endpoints that left meanwhile.
+#[test]
+fn a_relay_that_starts_sends_to_no_endpoint_that_left_while_it_was_down() {
+    let endpoints = ["UP 1\r\n", "UP 2\r\n"].map(Endpoint::lines);
+    let [known, current] = [Discovery::start(), Discovery::start()];
+    for list in [&known, &current] {
+        for (i, endpoint) in endpoints.iter().enumerate() {
+            list.set(&format!("s-{i}"), &endpoint.address, "Ready", 0);
+        }
+    }
+    current.set("s-0", &endpoints[0].address, "Terminating", 0);
+    let service = Service::start(&current);
+    // One of many relays, which poll in turn, and none tells another which endpoints have left.
+    let settings = settings(200, 7, 200).replace("peerMessages = true", "peerMessages = false");
+    let relay = Relay::start_more(&known.asked_at(&service.address), 1024, &[host()], 0, &settings);
+    let mut clients: Vec<Client> = (0..20).map(|_| relay.client()).collect();
+    for client in &mut clients {
+        client.open(&format!(",g={:x}", unix_ms()));
+    }
+    let is_ready = || relay.client().send("PING\r\n").line() == "PONG";
+    until("the list is had, and the relay is ready", || service.told(3).is_some() && is_ready());
+    for mut client in clients {
+        let answer = client.line();
+        assert!(answer == "UP 2" || answer.starts_with("BUSY"), "{answer}: {}", relay.log());
+    }
+    assert_eq!(relay.client().open("").line(), "UP 2");
+    assert!(endpoints[0].seen().iter().all(|line| !line.starts_with("OPEN")), "{:?}", endpoints[0].seen());
+}
