--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -7,16 +7,19 @@
 //!   known.
 //! - [`usage_view`] is the estimate of a tenant's usage, with bounds.
 //! - [`policy`] decides which connections are rejected.
+//! - `grant_client` and `grant_ledger`: near a tenant's limit a relay has its connections granted by one
+//!   coordinator, since each relay's own guess at the others' part of a burst would be wrong.
 //! - [`QuotaManager`] ties them together for the relay.
 //!
-//! The crate does no I/O; time is an argument, in milliseconds. It never closes an established connection
-//! and never waits. `docs/shares.md` compares the designs that were considered.
+//! The crate does no I/O; time is an argument, in milliseconds. It never closes an established connection. `docs/shares.md` compares the designs that were considered.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod aggregate;
 mod cluster_position;
+mod grant_client;
+mod grant_ledger;
 mod manager;
 mod peer_reports;
 pub mod policy;
@@ -28,5 +31,6 @@
 pub mod usage_view;
 
 pub use cluster_position::{ClusterPosition, FULL_MESH_RELAYS};
-pub use manager::QuotaManager;
+pub use grant_client::Ticket;
+pub use manager::{Arrival, Decided, QuotaManager, Rejections};
 pub use sandgw_units::Millis;
--- a/crates/quota/src/manager.rs
+++ b/crates/quota/src/manager.rs
@@ -1,14 +1,15 @@
 //! The quota of a relay's connections: the usage table and the policy over it.
 //!
 //! Inputs: connections' events, scarcity signals, peers' reports, and the time in milliseconds. Outputs: a
-//! verdict for each new connection, and reports to peers.
+//! verdict for each new connection, at once or a moment later, and reports to peers.
 
 use sandgw_units::Millis;
 
 use crate::cluster_position::ClusterPosition;
-use crate::policy::{QuotaPolicy, ScarcitySignals, Verdict};
+use crate::grant_client::{GrantClient, Settled, Ticket};
+use crate::policy::{Assessment, QuotaPolicy, RejectReason, ScarcitySignals, Verdict};
 use crate::tenants::Tenants;
-use crate::usage_gossip::UsageReport;
+use crate::usage_gossip::{GrantRow, MAX_ROWS, UsageReport};
 use crate::usage_table::{OutgoingReport, StoredUsage, UsageTable};
 use crate::usage_view::UsageView;
 
@@ -16,59 +17,240 @@
 /// at least.
 const RETURNING_TOLERANCE: f64 = 0.05;
 
+/// Once this fraction of a tenant's limit or less is left, the coordinator is told soon of connections that end.
+const NEAR_LIMIT_FRACTION: f64 = 0.25;
+/// Connections that end together are told together.
+const PROMPT_GATHER_MS: Millis = 20.0;
+/// The least time between two prompt reports.
+const PROMPT_INTERVAL_MS: Millis = 500.0;
+
+/// A new connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// The name of its tenant.
+    pub tenant: &'a str,
+    /// Its client was counted before.
+    pub is_returning: bool,
+    /// How long it can wait for a decision, in milliseconds.
+    pub patience: Millis,
+}
+
+/// A connection that waited, and what was decided about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Decided {
+    /// The connection.
+    pub ticket: Ticket,
+    /// The decision: [`Verdict::Admit`] or [`Verdict::Reject`].
+    pub verdict: Verdict,
+}
+
+/// Connections rejected so far, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Rejections {
+    /// As [`RejectReason::OverQuota`] says.
+    pub over_quota: u64,
+    /// As [`RejectReason::OverPart`] says.
+    pub over_part: u64,
+    /// As [`RejectReason::NotGranted`] says.
+    pub not_granted: u64,
+}
+
+impl Rejections {
+    /// All of them.
+    pub fn total(self) -> u64 {
+        self.over_quota + self.over_part + self.not_granted
+    }
+
+    fn count(&mut self, reason: RejectReason) {
+        match reason {
+            RejectReason::OverQuota => self.over_quota += 1,
+            RejectReason::OverPart => self.over_part += 1,
+            RejectReason::NotGranted => self.not_granted += 1,
+        }
+    }
+}
+
 /// Counts connections by tenant and decides about new ones.
 ///
 /// ```
-/// use sandgw_quota::policy::{ScarcitySignals, Verdict};
+/// use sandgw_quota::policy::{RejectReason, ScarcitySignals, Verdict};
 /// use sandgw_quota::tenants::{Tenant, Tenants};
-/// use sandgw_quota::{ClusterPosition, QuotaManager};
+/// use sandgw_quota::{Arrival, ClusterPosition, QuotaManager};
 ///
 /// let acme = Tenant { name: "acme".into(), connections: Some(1.0), per_s: None };
 /// let position = ClusterPosition { local_index: 0, relay_count: 1, peer_messages: false };
 /// let mut quotas = QuotaManager::new(Tenants::new(vec![acme]).unwrap(), position, 1.0);
 /// let full = ScarcitySignals { endpoints: true, ..ScarcitySignals::default() };
 /// let free = ScarcitySignals::default();
-/// assert_eq!(quotas.admit(10.0, "acme", false, full), Verdict::Admit);
-/// assert_eq!(quotas.admit(20.0, "acme", false, full), Verdict::Reject, "it has one already");
-/// assert_eq!(quotas.admit(9000.0, "acme", false, free), Verdict::Admit, "capacity is not scarce");
+/// let arrival = Arrival { tenant: "acme", is_returning: false, patience: 400.0 };
+/// assert_eq!(quotas.admit(10.0, arrival, full), Verdict::Admit);
+/// assert_eq!(quotas.admit(20.0, arrival, full), Verdict::Reject(RejectReason::OverQuota), "it has one");
+/// assert_eq!(quotas.admit(9000.0, arrival, free), Verdict::Admit, "capacity is not scarce");
 /// ```
 pub struct QuotaManager {
     usage: UsageTable,
     policy: QuotaPolicy,
+    grants: GrantClient,
+    decided: Vec<Decided>,
+    /// When the coordinator is told of connections that have ended.
+    prompt_report_at: Option<Millis>,
+    last_prompt_report: Millis,
+    rejections: Rejections,
 }
 
 impl QuotaManager {
     /// For a relay that starts now. A later start must have a later time: it is the relay's incarnation
     /// number.
     pub fn new(tenants: Tenants, position: ClusterPosition, now: Millis) -> Self {
-        let policy = QuotaPolicy::new(tenants.len(), now, u64::from(position.local_index));
-        QuotaManager { usage: UsageTable::new(tenants, position, now), policy }
+        let policy = QuotaPolicy::new(tenants.len(), now);
+        QuotaManager {
+            usage: UsageTable::new(tenants, position, now),
+            policy,
+            grants: GrantClient::default(),
+            decided: Vec::new(),
+            prompt_report_at: None,
+            last_prompt_report: f64::NEG_INFINITY,
+            rejections: Rejections::default(),
+        }
     }
 
-    /// Decides about a new connection. `is_returning` is one whose client was counted before. An admitted
-    /// connection counts as pending until [`QuotaManager::established`] or [`QuotaManager::closed`].
-    pub fn admit(
-        &mut self,
-        now: Millis,
-        tenant: &str,
-        is_returning: bool,
-        signals: ScarcitySignals,
-    ) -> Verdict {
+    /// Decides about a new connection. An admitted one counts as pending until
+    /// [`QuotaManager::established`] or [`QuotaManager::closed`]; one that waits is decided by
+    /// [`QuotaManager::take_decided`].
+    pub fn admit(&mut self, now: Millis, arrival: Arrival<'_>, signals: ScarcitySignals) -> Verdict {
         self.policy.observe_signals(now, signals);
-        let Some(index) = self.usage.index_of(tenant) else { return Verdict::Admit };
-        if !is_returning {
+        self.policy.observe_scarcity_elsewhere(now, self.usage.is_scarce_elsewhere(now));
+        let Some(index) = self.usage.index_of(arrival.tenant) else { return Verdict::Admit };
+        if !arrival.is_returning {
             self.usage.record_arrival(now, index);
         }
         let mut view = self.usage.view(now, index);
-        if is_returning {
+        if arrival.is_returning {
             // The relay that the client comes from may still count it.
             view.limit += (view.limit * RETURNING_TOLERANCE).max(1.0);
         }
-        let verdict = self.policy.decide(now, index, &view);
-        if verdict == Verdict::Admit {
-            self.usage.add_pending(index);
+        match self.policy.assess(now, index, &view) {
+            Assessment::Admit => self.admitted(index),
+            Assessment::Reject(reason) => self.rejected(reason),
+            // It was counted: admitting it adds nothing to what the cluster has.
+            Assessment::NeedsGrant if arrival.is_returning => self.admitted(index),
+            Assessment::NeedsGrant => self.decide_by_grant(now, index, &view, arrival.patience),
+        }
+    }
+
+    /// Decides about a connection that is within its tenant's quota by all that is known here.
+    fn decide_by_grant(&mut self, now: Millis, index: usize, view: &UsageView, patience: Millis) -> Verdict {
+        if self.usage.is_coordinator(now) {
+            return self.decide_as_coordinator(now, index, view);
+        }
+        let open = self.usage.open(index);
+        if self.grants.allows(now, index, open) || self.policy.take_ungranted(now, index, view) {
+            return self.admitted(index);
+        }
+        if self.grants.is_refused(now, index) {
+            return self.rejected(RejectReason::OverQuota);
+        }
+        Verdict::Wait(self.grants.wait(now, index, patience))
+    }
+
+    fn admitted(&mut self, index: usize) -> Verdict {
+        self.policy.take_token(index);
+        self.usage.add_pending(index);
+        Verdict::Admit
+    }
+
+    fn rejected(&mut self, reason: RejectReason) -> Verdict {
+        self.rejections.count(reason);
+        Verdict::Reject(reason)
+    }
+
+    /// What was decided since the last call about connections that waited.
+    pub fn take_decided(&mut self) -> Vec<Decided> {
+        std::mem::take(&mut self.decided)
+    }
+
+    /// Adds the requests for grants that are due to `out`, and decides about connections that can't wait any
+    /// longer; returns in how many milliseconds to call again, if that is needed.
+    pub fn poll_grants(&mut self, now: Millis, out: &mut Vec<OutgoingReport>) -> Option<Millis> {
+        for (index, ticket) in self.grants.take_expired(now) {
+            let view = self.usage.view(now, index);
+            let verdict = self.decide_without_grant(now, index, &view);
+            self.decided.push(Decided { ticket, verdict });
+        }
+        if self.usage.is_coordinator(now) {
+            self.settle_as_coordinator(now);
+        }
+        self.send_prompt_report(now, out);
+        self.send_grant_request(now, out);
+        self.next_grant_poll(now)
+    }
+
+    /// In how many milliseconds to call [`QuotaManager::poll_grants`], if that is needed.
+    pub fn next_grant_poll(&self, now: Millis) -> Option<Millis> {
+        let prompt = self.prompt_report_at.map(|at| (at - now).max(1.0));
+        let grants = self.grants.next_in_ms(now);
+        prompt.into_iter().chain(grants).min_by(f64::total_cmp)
+    }
+
+    fn send_prompt_report(&mut self, now: Millis, out: &mut Vec<OutgoingReport>) {
+        if self.prompt_report_at.take_if(|at| *at <= now).is_some() {
+            self.last_prompt_report = now;
+            out.extend(self.usage.prompt_report(now));
+        }
+    }
+
+    /// Decides about the connections that wait, where this relay has become the coordinator meanwhile.
+    fn settle_as_coordinator(&mut self, now: Millis) {
+        for (index, ticket) in self.grants.take_all() {
+            let view = self.usage.view(now, index);
+            let verdict = self.decide_as_coordinator(now, index, &view);
+            self.decided.push(Decided { ticket, verdict });
+        }
+    }
+
+    fn decide_as_coordinator(&mut self, now: Millis, index: usize, view: &UsageView) -> Verdict {
+        if !self.usage.can_grant(now) {
+            return self.decide_without_grant(now, index, view);
+        }
+        let is_free = self.usage.free(now, index) >= 1.0;
+        if is_free { self.admitted(index) } else { self.rejected(RejectReason::OverQuota) }
+    }
+
+    /// No coordinator has answered: admits an even part of what is left.
+    fn decide_without_grant(&mut self, now: Millis, index: usize, view: &UsageView) -> Verdict {
+        let is_within = self.policy.take_even_part(now, index, view);
+        if is_within { self.admitted(index) } else { self.rejected(RejectReason::NotGranted) }
+    }
+
+    fn send_grant_request(&mut self, now: Millis, out: &mut Vec<OutgoingReport>) {
+        let mut due = self.grants.due(now);
+        due.truncate(MAX_ROWS);
+        let Some(peer) = self.usage.coordinator(now).filter(|_| !due.is_empty()) else { return };
+        let (sequence, report) = self.usage.grant_request(&due);
+        for (index, _) in due {
+            self.grants.sent(now, index, sequence, self.usage.open(index));
+        }
+        out.push(OutgoingReport { peer, report });
+    }
+
+    fn handle_grant(&mut self, now: Millis, sequence: u32, rows: &[GrantRow]) {
+        for row in rows.iter().take(MAX_ROWS) {
+            let Some(index) = self.usage.index_of_tag(row.tenant) else { continue };
+            let open = self.usage.open(index);
+            let settled = self.grants.receive(now, index, sequence, f64::from(row.ceiling), open);
+            self.settle(index, settled);
+        }
+    }
+
+    fn settle(&mut self, index: usize, settled: Settled) {
+        for ticket in settled.admitted {
+            let verdict = self.admitted(index);
+            self.decided.push(Decided { ticket, verdict });
+        }
+        for ticket in settled.rejected {
+            let verdict = self.rejected(RejectReason::OverQuota);
+            self.decided.push(Decided { ticket, verdict });
         }
-        verdict
     }
 
     /// Counts a connection without a decision: it is established already, at another relay or at an endpoint.
@@ -87,9 +269,14 @@
     }
 
     /// A counted connection has ended, established or not.
-    pub fn closed(&mut self, tenant: &str, was_established: bool) {
-        if let Some(index) = self.usage.index_of(tenant) {
-            self.usage.close(index, was_established);
+    pub fn closed(&mut self, now: Millis, tenant: &str, was_established: bool) {
+        let Some(index) = self.usage.index_of(tenant) else { return };
+        self.usage.close(index, was_established);
+        let view = self.usage.view(now, index);
+        let is_near_limit = view.limit - view.connections <= NEAR_LIMIT_FRACTION * view.limit;
+        if is_near_limit && self.policy.is_scarce(now) {
+            let at = (now + PROMPT_GATHER_MS).max(self.last_prompt_report + PROMPT_INTERVAL_MS);
+            self.prompt_report_at.get_or_insert(at);
         }
     }
 
@@ -111,11 +298,16 @@
         report: UsageReport,
         out: &mut Vec<OutgoingReport>,
     ) {
+        self.usage.set_local_scarcity(self.policy.finds_endpoints_short(now));
+        if let UsageReport::Grant { sequence, rows } = report {
+            return self.handle_grant(now, sequence, &rows);
+        }
         self.usage.handle_report(now, peer, report, out);
     }
 
     /// Adds the reports that are due to `out`; returns in how many milliseconds to call again.
     pub fn poll(&mut self, now: Millis, out: &mut Vec<OutgoingReport>) -> Millis {
+        self.usage.set_local_scarcity(self.policy.finds_endpoints_short(now));
         self.usage.poll(now, out)
     }
 
@@ -124,9 +316,9 @@
         self.policy.is_scarce(now)
     }
 
-    /// Connections rejected so far because their tenant was over its quota.
-    pub fn rejections(&self) -> u64 {
-        self.policy.rejections()
+    /// Connections rejected so far.
+    pub fn rejections(&self) -> Rejections {
+        self.rejections
     }
 
     /// What a tenant uses of the cluster; `None` of one without a name here.
--- a/crates/quota/src/peer_reports.rs
+++ b/crates/quota/src/peer_reports.rs
@@ -13,6 +13,8 @@
 
 /// A relay without a report for this time no longer counts: by then its clients have reconnected elsewhere.
 pub(crate) const PEER_TIMEOUT_MS: Millis = 2400.0;
+/// A report is overdue after so many intervals.
+const OVERDUE_INTERVALS: f64 = 1.25;
 /// Sums below both of these are rounding remainders and are dropped.
 const MIN_SUM_CONNECTIONS: f64 = 0.5;
 const MIN_SUM_PER_S: f64 = 0.05;
@@ -26,7 +28,7 @@
 
 impl ReportId {
     /// Whether it was sent after another.
-    fn is_after(self, other: ReportId) -> bool {
+    pub(crate) fn is_after(self, other: ReportId) -> bool {
         self.incarnation > other.incarnation
             || self.incarnation == other.incarnation && is_later(self.sequence, other.sequence)
     }
@@ -70,6 +72,29 @@
         self.reports.get(&peer)
     }
 
+    /// Connections of a tenant that may have ended: relays whose reports are overdue may have died, and their
+    /// clients arrive elsewhere. More and more of theirs, until they count no longer.
+    pub fn overdue(&self, now: Millis, tenant: TenantTag, interval_ms: Millis) -> f64 {
+        let due_ms = OVERDUE_INTERVALS * interval_ms;
+        let overdue_of = |report: &PeerReport| {
+            let late_ms = (now - report.received_at - due_ms).max(0.0);
+            let fraction = (late_ms / (PEER_TIMEOUT_MS - due_ms)).min(1.0);
+            report.rows.get(&tenant).map_or(0.0, |usage| usage.connections * fraction)
+        };
+        self.reports.values().map(overdue_of).sum()
+    }
+
+    /// Whether a relay has reported lately.
+    pub fn is_live(&self, now: Millis, peer: u32) -> bool {
+        self.reports.get(&peer).is_some_and(|report| now - report.received_at <= PEER_TIMEOUT_MS)
+    }
+
+    /// What a relay reported last of a tenant.
+    pub fn usage_of(&self, peer: u32, tenant: TenantTag) -> Usage {
+        let report = self.reports.get(&peer);
+        report.and_then(|report| report.rows.get(&tenant)).copied().unwrap_or_default()
+    }
+
     /// The sum of all reports for a tenant.
     pub fn sum(&self, tenant: TenantTag) -> Usage {
         self.sums.get(&tenant).copied().unwrap_or_default()
--- a/crates/quota/src/report_schedule.rs
+++ b/crates/quota/src/report_schedule.rs
@@ -94,11 +94,27 @@
         (now < self.next_at).then(|| (self.next_at - now).max(1.0))
     }
 
+    /// The interval between a relay's reports.
+    pub fn interval_ms(&self) -> Millis {
+        if self.position.is_full_mesh() { FULL_MESH_INTERVAL_MS } else { COLLECTOR_INTERVAL_MS }
+    }
+
     /// Whether this relay sums up the others' reports by itself.
     pub fn is_collector(&self) -> bool {
         self.position.is_full_mesh() || self.collector(self.current_rank) == self.position.local_index
     }
 
+    /// The relay that grants connections: the current collector; in a full mesh the first of the collectors'
+    /// order that is alive.
+    pub fn coordinator(&self, is_alive: impl Fn(u32) -> bool) -> u32 {
+        if !self.position.is_full_mesh() {
+            return self.collector(self.current_rank);
+        }
+        let mut order = (0..self.position.relay_count).map(|rank| self.collector(rank));
+        let is_present = |relay: &u32| *relay == self.position.local_index || is_alive(*relay);
+        order.find(is_present).unwrap_or(self.position.local_index)
+    }
+
     /// The collector of a rank. The order is the same at all relays, and neighbours in it are far apart, so
     /// that each side of a partition has one of the first few.
     fn collector(&self, rank: u32) -> u32 {
@@ -164,7 +180,7 @@
 
     /// Whether the relays that report here are about all. A collector that has just become one knows less
     /// than the next one may.
-    fn covers_cluster(&self, reporters: usize) -> bool {
+    pub fn covers_cluster(&self, reporters: usize) -> bool {
         reporters as f64 + 1.0 >= SIMILAR_COVERAGE_RATIO * f64::from(self.position.relay_count)
     }
 
--- a/crates/quota/src/tenants.rs
+++ b/crates/quota/src/tenants.rs
@@ -9,6 +9,8 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::usage_gossip::SCARCITY_TAG;
+
 /// Most tenants: with more, a datagram a second would take too long to report on all of them.
 pub const MAX_TENANTS: usize = 200;
 
@@ -119,7 +121,7 @@
 
 /// Tags by index. Names are taken in alphabetical order, so that all relays resolve a collision alike.
 fn unique_tags(index_by_name: &BTreeMap<String, usize>) -> Vec<TenantTag> {
-    let mut taken = BTreeSet::new();
+    let mut taken = BTreeSet::from([SCARCITY_TAG]);
     let mut tags = vec![TenantTag::default(); index_by_name.len()];
     for (name, index) in index_by_name {
         let free = (0..).map(|salt| hash_tag(name, salt)).find(|tag| !taken.contains(tag));
--- a/crates/quota/src/usage_gossip.rs
+++ b/crates/quota/src/usage_gossip.rs
@@ -13,6 +13,9 @@
 pub const MAX_ROWS: usize = 20;
 /// The greatest value in a row: what a varint of three bytes holds.
 const MAX_ROW_VALUE: u32 = (1 << 21) - 1;
+/// The row of this tag is of no tenant: its connections are the relays that find endpoints short of capacity.
+/// Relays that do not know it keep it like a tenant that they have no name for.
+pub(crate) const SCARCITY_TAG: TenantTag = TenantTag([0, 0]);
 /// Arrivals are encoded in tenths a second.
 const ARRIVAL_UNITS: f64 = 10.0;
 
@@ -25,6 +28,11 @@
     pub per_s: f64,
 }
 
+/// A value as a row can hold it.
+pub(crate) fn limited(value: f64) -> u32 {
+    (value.round().max(0.0) as u32).min(MAX_ROW_VALUE)
+}
+
 /// A tenant's usage as it is encoded: of one relay or of many.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageRow {
@@ -39,7 +47,6 @@
 impl UsageRow {
     /// A row, with values rounded and limited to what it can hold.
     pub fn new(tenant: TenantTag, usage: Usage) -> UsageRow {
-        let limited = |value: f64| (value.round().max(0.0) as u32).min(MAX_ROW_VALUE);
         UsageRow {
             tenant,
             connections: limited(usage.connections),
@@ -56,6 +63,26 @@
     }
 }
 
+/// One tenant's row of a request for a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRequestRow {
+    /// The tenant.
+    pub tenant: TenantTag,
+    /// The sender's open connections.
+    pub open: u32,
+    /// Connections that it wants besides.
+    pub wanted: u32,
+}
+
+/// One tenant's row of a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRow {
+    /// The tenant.
+    pub tenant: TenantTag,
+    /// Connections that the receiver may have open, in all.
+    pub ceiling: u32,
+}
+
 /// A report. `incarnation` grows with each start of its sender, `sequence` with each report of that
 /// incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,6 +107,22 @@
         /// Sums by tenant.
         rows: Vec<UsageRow>,
     },
+    /// The sender wants more connections than its own knowledge allows, of the cluster's coordinator.
+    GrantRequest {
+        /// The sender's incarnation.
+        incarnation: u64,
+        /// The report's number.
+        sequence: u32,
+        /// What is wanted by tenant.
+        rows: Vec<GrantRequestRow>,
+    },
+    /// The coordinator's answer to a request.
+    Grant {
+        /// The number of the request.
+        sequence: u32,
+        /// What is granted by tenant.
+        rows: Vec<GrantRow>,
+    },
 }
 
 impl UsageReport {
--- a/crates/quota/src/usage_table.rs
+++ b/crates/quota/src/usage_table.rs
@@ -14,11 +14,14 @@
 
 use crate::aggregate::{AGGREGATE_TTL_MS, Aggregate, AggregateSource};
 use crate::cluster_position::ClusterPosition;
-use crate::peer_reports::{PeerReports, ReportId};
+use crate::grant_ledger::{GrantDemand, GrantLedger};
+use crate::peer_reports::{PEER_TIMEOUT_MS, PeerReports, ReportId};
 use crate::rate::ArrivalRate;
 use crate::report_schedule::ReportSchedule;
 use crate::tenants::{TenantTag, Tenants};
-use crate::usage_gossip::{MAX_ROWS, Usage, UsageReport, UsageRow};
+use crate::usage_gossip::{
+    GrantRequestRow, GrantRow, MAX_ROWS, SCARCITY_TAG, Usage, UsageReport, UsageRow, limited,
+};
 use crate::usage_view::{RemoteUsage, UsageView};
 
 /// More reporters than a cluster can have; a stored number from here on is invalid.
@@ -42,15 +45,10 @@
 }
 
 impl LocalUsage {
-    /// Open connections, pending ones included.
+    /// Open connections, pending ones included: what was admitted counts at other relays too.
     fn open(&self, now: Millis) -> Usage {
         Usage { connections: f64::from(self.established + self.pending), per_s: self.arrivals.per_s(now) }
     }
-
-    /// What other relays are to count.
-    fn reported(&self, now: Millis) -> Usage {
-        Usage { connections: f64::from(self.established), per_s: self.arrivals.per_s(now) }
-    }
 }
 
 /// The other relays' usage as it is stored over a restart. It counts by its age like any aggregate.
@@ -76,6 +74,13 @@
     peer_reports: PeerReports,
     aggregate: Option<Aggregate>,
     schedule: ReportSchedule,
+    /// What this relay has granted as the coordinator.
+    grants: GrantLedger,
+    /// Whether this relay finds endpoints short of capacity; `None` until it has once.
+    local_scarcity: Option<bool>,
+    /// Since when the others report to this relay, if they do: in a full mesh since its start, else since it
+    /// is the collector.
+    collecting_since: Option<Millis>,
 }
 
 impl UsageTable {
@@ -90,6 +95,9 @@
             peer_reports: PeerReports::default(),
             aggregate: None,
             schedule: ReportSchedule::new(position, now),
+            grants: GrantLedger::default(),
+            local_scarcity: None,
+            collecting_since: position.is_full_mesh().then_some(now),
         }
     }
 
@@ -135,6 +143,105 @@
         UsageView::estimate(local.open(now), self.remote(now, tag), self.tenants.get(index), self.position)
     }
 
+    /// Whether this relay finds endpoints short of capacity, for its next reports.
+    pub(crate) fn set_local_scarcity(&mut self, is_scarce: bool) {
+        if is_scarce || self.local_scarcity.is_some() {
+            self.local_scarcity = Some(is_scarce);
+        }
+    }
+
+    /// Whether any other relay finds endpoints short of capacity.
+    pub(crate) fn is_scarce_elsewhere(&self, now: Millis) -> bool {
+        self.remote(now, SCARCITY_TAG).usage.connections > 0.0
+    }
+
+    /// The row that says whether relays find endpoints short of capacity, of which `others` do; none while none
+    /// has.
+    fn scarcity_row(&self, others: f64) -> Option<UsageRow> {
+        let is_scarce = self.local_scarcity?;
+        let connections = others + f64::from(u8::from(is_scarce));
+        Some(UsageRow::new(SCARCITY_TAG, Usage { connections, per_s: 0.0 }))
+    }
+
+    /// This relay's open connections of the tenant at this index, pending ones included.
+    pub(crate) fn open(&self, index: usize) -> f64 {
+        self.local.get(index).map_or(0.0, |local| f64::from(local.established + local.pending))
+    }
+
+    /// The relay that grants connections to the others; `None` where relays may not send each other messages.
+    pub(crate) fn coordinator(&self, now: Millis) -> Option<u32> {
+        let may_ask = self.position.peer_messages && self.position.relay_count > 1;
+        may_ask.then(|| self.schedule.coordinator(|peer| self.peer_reports.is_live(now, peer)))
+    }
+
+    pub(crate) fn is_coordinator(&self, now: Millis) -> bool {
+        self.coordinator(now) == Some(self.position.local_index)
+    }
+
+    /// Whether this relay knows enough to grant anything as the coordinator: nearly all relays report to it, or
+    /// those that do not have been silent for so long that they count no longer.
+    pub(crate) fn can_grant(&self, now: Millis) -> bool {
+        let has_waited = self.collecting_since.is_some_and(|since| now - since >= PEER_TIMEOUT_MS);
+        self.is_coordinator(now) && (has_waited || self.schedule.covers_cluster(self.peer_reports.len()))
+    }
+
+    /// How many connections of the tenant this relay may still admit by itself as the coordinator.
+    pub(crate) fn free(&self, now: Millis, index: usize) -> f64 {
+        let Some(tag) = self.tags.get(index) else { return f64::INFINITY };
+        let view = self.view(now, index);
+        let reported = |peer| self.peer_reports.usage_of(peer, *tag).connections;
+        view.remaining() - self.grants.unreported(now, *tag, None, reported)
+    }
+
+    /// A report of local usage, for the coordinator.
+    pub(crate) fn prompt_report(&mut self, now: Millis) -> Option<OutgoingReport> {
+        let peer = self.coordinator(now).filter(|_| !self.is_coordinator(now))?;
+        Some(OutgoingReport { peer, report: self.local_report(now) })
+    }
+
+    /// A request for what these tenants want, by their indexes; the request's number.
+    pub(crate) fn grant_request(&mut self, wanted: &[(usize, usize)]) -> (u32, UsageReport) {
+        let ReportId { incarnation, sequence } = self.next_report_id();
+        let row = |(index, wanted): &(usize, usize)| GrantRequestRow {
+            tenant: self.tags.get(*index).copied().unwrap_or_default(),
+            open: limited(self.open(*index)),
+            wanted: limited(*wanted as f64),
+        };
+        let rows = wanted.iter().take(MAX_ROWS).map(row).collect();
+        (sequence, UsageReport::GrantRequest { incarnation, sequence, rows })
+    }
+
+    /// The index of a tag.
+    pub(crate) fn index_of_tag(&self, tag: TenantTag) -> Option<usize> {
+        self.tags.iter().position(|known| *known == tag)
+    }
+
+    /// Answers another relay's request, if this relay is the coordinator.
+    fn handle_grant_request(
+        &mut self,
+        now: Millis,
+        peer: u32,
+        id: ReportId,
+        rows: Vec<GrantRequestRow>,
+    ) -> Option<OutgoingReport> {
+        if !self.can_grant(now) || !self.grants.is_new_request(peer, id) {
+            return None;
+        }
+        let rows = rows.into_iter().take(MAX_ROWS).filter_map(|row| self.grant(now, peer, row)).collect();
+        Some(OutgoingReport { peer, report: UsageReport::Grant { sequence: id.sequence, rows } })
+    }
+
+    fn grant(&mut self, now: Millis, peer: u32, row: GrantRequestRow) -> Option<GrantRow> {
+        let tag = row.tenant;
+        let view = self.view(now, self.index_of_tag(tag)?);
+        let demand = GrantDemand { tenant: tag, open: f64::from(row.open), wanted: f64::from(row.wanted) };
+        let reported = |peer| self.peer_reports.usage_of(peer, tag).connections;
+        let unreported = self.grants.unreported(now, tag, Some(peer), reported);
+        let free = view.remaining() + reported(peer) - demand.open - unreported;
+        let ceiling = self.grants.grant(now, peer, demand, free);
+        Some(GrantRow { tenant: tag, ceiling: limited(ceiling) })
+    }
+
     /// What the other relays use: by their own reports, or by an aggregate while that includes more relays.
     fn remote(&self, now: Millis, tag: TenantTag) -> RemoteUsage {
         let coverage = self.peer_reports.coverage(now);
@@ -149,16 +256,21 @@
                 usage: aggregate.rows.get(&tag).copied().unwrap_or_default(),
                 age_ms: (now - aggregate.received_at).max(0.0),
                 reporters: aggregate.reporters,
+                overdue: 0.0,
             };
         }
         // Sums include silent relays until the next poll; without any reporter nothing counts from now on.
         let usage = if reporters > 0.0 { self.peer_reports.sum(tag) } else { Usage::default() };
-        RemoteUsage { usage, age_ms: coverage.mean_age_ms, reporters }
+        let overdue = self.peer_reports.overdue(now, tag, self.schedule.interval_ms());
+        RemoteUsage { usage, age_ms: coverage.mean_age_ms, reporters, overdue }
     }
 
     /// Adds the reports that are due to `out`; returns in how many milliseconds to call again.
     pub fn poll(&mut self, now: Millis, out: &mut Vec<OutgoingReport>) -> Millis {
         self.peer_reports.remove_silent(now);
+        if !self.position.is_full_mesh() {
+            self.collecting_since = self.collecting_since.or(Some(now)).filter(|_| self.is_coordinator(now));
+        }
         if !self.position.peer_messages || self.position.relay_count < 2 {
             return AGGREGATE_TTL_MS;
         }
@@ -181,7 +293,8 @@
     fn local_report(&mut self, now: Millis) -> UsageReport {
         let ReportId { incarnation, sequence } = self.next_report_id();
         let rows = self.local.iter().zip(&self.tags);
-        let rows = rows.map(|(local, tag)| UsageRow::new(*tag, local.reported(now))).collect();
+        let rows = rows.map(|(local, tag)| UsageRow::new(*tag, local.open(now)));
+        let rows = self.scarcity_row(0.0).into_iter().chain(rows).collect();
         UsageReport::Local { incarnation, sequence, rows: page(sequence, rows) }
     }
 
@@ -207,6 +320,12 @@
                 let reporters = f64::from(reporters);
                 self.handle_aggregate(Aggregate { source, sequence, received_at: now, reporters, rows });
             }
+            UsageReport::GrantRequest { incarnation, sequence, rows } => {
+                let id = ReportId { incarnation, sequence };
+                out.extend(self.handle_grant_request(now, peer, id, rows));
+            }
+            // Taken by the manager, which has the connections that wait.
+            UsageReport::Grant { .. } => {}
         }
     }
 
@@ -220,6 +339,10 @@
         self.peer_reports.remove_silent(now);
         let has_restarted = self.peer_reports.is_new_incarnation(peer, id.incarnation);
         self.peer_reports.merge(now, peer, id, rows);
+        if self.peer_reports.sum(SCARCITY_TAG).connections > 0.0 {
+            // From now on its own reports say so, and when that has ended.
+            self.local_scarcity.get_or_insert(false);
+        }
         if !self.position.is_full_mesh() {
             return Some(OutgoingReport { peer, report: self.aggregate_report(now, peer) });
         }
@@ -234,14 +357,19 @@
         let rows = self.local.iter().zip(&self.tags).map(|(local, tag)| {
             let sum = self.peer_reports.sum(*tag);
             let excluded = received.and_then(|report| report.rows.get(tag)).copied().unwrap_or_default();
-            let local = local.reported(now);
+            let local = local.open(now);
             let connections = sum.connections - excluded.connections + local.connections;
             let per_s = sum.per_s - excluded.per_s + local.per_s;
             UsageRow::new(*tag, Usage { connections, per_s })
         });
         // Paged by the receiver's own sequence, so that successive replies to one relay carry successive
         // pages.
-        let rows = page(received.map_or(0, |report| report.id.sequence), rows.collect());
+        let excluded =
+            received.and_then(|report| report.rows.get(&SCARCITY_TAG)).copied().unwrap_or_default();
+        let scarce_elsewhere = self.peer_reports.sum(SCARCITY_TAG).connections - excluded.connections;
+        let scarcity = self.scarcity_row(scarce_elsewhere);
+        let rows =
+            page(received.map_or(0, |report| report.id.sequence), scarcity.into_iter().chain(rows).collect());
         let reporters = self.peer_reports.len() + 1 - usize::from(received.is_some());
         let reporters = u16::try_from(reporters).unwrap_or(u16::MAX);
         UsageReport::Aggregate { incarnation, sequence, reporters, rows }
@@ -262,7 +390,7 @@
             rows.append(&mut new.rows);
             new.rows = rows;
         }
-        new.rows.retain(|tag, _| self.tags.contains(tag));
+        new.rows.retain(|tag, _| *tag == SCARCITY_TAG || self.tags.contains(tag));
         self.aggregate = Some(new);
     }
 
--- a/crates/quota/src/usage_view.rs
+++ b/crates/quota/src/usage_view.rs
@@ -30,7 +30,9 @@
     pub local: f64,
     /// Open connections of the cluster: local ones, and others as reported.
     pub connections: f64,
-    /// The same with the expected growth since the others reported; it is compared to the limit.
+    /// Of those, connections that may have ended with their relay: its report is overdue.
+    pub overdue: f64,
+    /// `connections` with the expected growth since the others reported; it is compared to the limit.
     pub expected: f64,
     /// Lower bound of the true number of connections.
     pub min: f64,
@@ -38,6 +40,8 @@
     pub max: f64,
     /// Connection limit for the part of the cluster that reports; infinite where there is none.
     pub limit: f64,
+    /// Whether that is less than the whole quota: too few relays report.
+    pub is_limit_partial: bool,
     /// Arrivals a second at this relay.
     pub local_per_s: f64,
     /// Arrivals a second at the cluster.
@@ -46,6 +50,8 @@
     pub per_s_limit: Option<f64>,
     /// Number of other relays that are included.
     pub reporters: f64,
+    /// How old the others' reports are in the mean, in milliseconds.
+    pub age_ms: Millis,
     /// Number of relays of the cluster.
     pub relay_count: f64,
     /// Time until all other relays know of a new connection here.
@@ -60,9 +66,16 @@
     pub age_ms: Millis,
     /// Number of relays that it includes.
     pub reporters: f64,
+    /// Of its connections, those that may have ended with their relay.
+    pub overdue: f64,
 }
 
 impl UsageView {
+    /// Connections that are left of the limit.
+    pub(crate) fn remaining(&self) -> f64 {
+        self.limit - self.connections + self.overdue
+    }
+
     /// The estimate for one tenant; without a tenant there are no limits.
     pub(crate) fn estimate(
         local: Usage,
@@ -70,7 +83,7 @@
         tenant: Option<&Tenant>,
         position: ClusterPosition,
     ) -> UsageView {
-        let RemoteUsage { usage: others, age_ms, reporters } = remote;
+        let RemoteUsage { usage: others, age_ms, reporters, overdue } = remote;
         let relay_count = f64::from(position.relay_count.max(1));
         let per_s_limit = tenant.and_then(|tenant| tenant.per_s);
         let limit = tenant.and_then(|tenant| tenant.connections).unwrap_or(f64::INFINITY);
@@ -81,14 +94,17 @@
         UsageView {
             local: local.connections,
             connections,
+            overdue,
             expected: connections + growth,
             min: local.connections + (others.connections - change).max(0.0),
             max: connections + change + max_unreported(connections, reporters, relay_count, limit),
             limit: (limit * fraction).max(MIN_LIMIT),
+            is_limit_partial: fraction < 1.0,
             local_per_s: local.per_s,
             per_s: local.per_s + others.per_s,
             per_s_limit: per_s_limit.map(|limit| limit * fraction),
             reporters,
+            age_ms,
             relay_count,
             propagation_ms: propagation_ms(position),
         }
--- a/crates/quota/tests/common/mod.rs
+++ b/crates/quota/tests/common/mod.rs
@@ -8,12 +8,12 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use sandgw_datagram::MAX_BYTES;
-use sandgw_quota::policy::{ScarcitySignals, Verdict};
+use sandgw_quota::policy::{RejectReason, ScarcitySignals, Verdict};
 use sandgw_quota::tenants::{Tenant, Tenants};
 use sandgw_quota::usage_gossip::UsageReport;
 use sandgw_quota::usage_table::OutgoingReport;
 use sandgw_quota::usage_view::UsageView;
-use sandgw_quota::{ClusterPosition, QuotaManager};
+use sandgw_quota::{Arrival, ClusterPosition, Decided, QuotaManager, Ticket};
 
 /// Least step of the clock.
 pub const STEP: f64 = 20.0;
@@ -23,9 +23,34 @@
     format!("member-{i}")
 }
 
+/// How long a client can wait for a decision, in milliseconds.
+const PATIENCE_MS: f64 = 400.0;
+
+/// What became of a client that arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    Admitted,
+    Rejected(RejectReason),
+    /// It is decided later: see [`Cluster::settled`].
+    Waiting,
+}
+
+/// A client that waited, once it is decided.
+#[derive(Clone, Copy, Debug)]
+pub struct SettledOpening {
+    pub tenant: usize,
+    /// When it arrived.
+    pub since: f64,
+    pub is_admitted: bool,
+}
+
 pub struct Relay {
     pub quotas: Option<QuotaManager>,
     next: f64,
+    /// When its requests for grants are looked at.
+    next_grants: f64,
+    /// Clients that wait, with their tenant and when they arrived.
+    waiting: BTreeMap<Ticket, (usize, f64)>,
     /// Side of the cut that it is on.
     pub side: u32,
     /// Established connections, by tenant.
@@ -45,6 +70,8 @@
     number: u64,
     /// Clients on their way to another relay: when they arrive, and of which tenant.
     returning: Vec<(f64, usize)>,
+    /// Clients that waited and are decided.
+    pub settled: Vec<SettledOpening>,
 }
 
 impl Cluster {
@@ -62,10 +89,12 @@
             in_flight: BTreeMap::new(),
             number: 0,
             returning: Vec::new(),
+            settled: Vec::new(),
         };
         for local_index in 0..relays {
             let (quotas, established) = (Some(cluster.quotas(local_index, relays)), vec![0; tenant_count]);
-            cluster.relays.push(Relay { quotas, next: 0.0, side: 0, established });
+            let (next, next_grants, waiting) = (0.0, f64::INFINITY, BTreeMap::new());
+            cluster.relays.push(Relay { quotas, next, next_grants, waiting, side: 0, established });
         }
         cluster
     }
@@ -117,6 +146,7 @@
                 quotas.handle_report(self.now, from, report, &mut out);
             }
             self.send(to, out);
+            self.settle(to as usize);
         }
         for local_index in 0..self.relays.len() {
             let relay = &mut self.relays[local_index];
@@ -125,6 +155,9 @@
                 relay.next = self.now + quotas.poll(self.now, &mut out);
                 self.send(local_index as u32, out);
             }
+            if self.relays[local_index].next_grants <= self.now {
+                self.poll_grants(local_index);
+            }
         }
         let (returned, returning) = self.returning.drain(..).partition(|(at, _)| *at <= self.now);
         self.returning = returning;
@@ -139,22 +172,56 @@
         self.open_at(at, tenant, is_returning, signals);
     }
 
-    /// Whether it was taken.
+    /// What becomes of a client that arrives at this relay.
     pub fn open_at(
         &mut self,
         at: usize,
         tenant: usize,
         is_returning: bool,
         signals: ScarcitySignals,
-    ) -> bool {
+    ) -> Opening {
         let (now, relay) = (self.now, &mut self.relays[at]);
-        let Some(quotas) = &mut relay.quotas else { return false };
-        if quotas.admit(now, &tenant_name(tenant), is_returning, signals) == Verdict::Reject {
-            return false;
+        let Some(quotas) = &mut relay.quotas else { return Opening::Rejected(RejectReason::NotGranted) };
+        let name = tenant_name(tenant);
+        let arrival = Arrival { tenant: &name, is_returning, patience: PATIENCE_MS };
+        match quotas.admit(now, arrival, signals) {
+            Verdict::Admit => {
+                quotas.established(&name);
+                relay.established[tenant] += 1;
+                Opening::Admitted
+            }
+            Verdict::Reject(reason) => Opening::Rejected(reason),
+            Verdict::Wait(ticket) => {
+                relay.waiting.insert(ticket, (tenant, now));
+                relay.next_grants = now;
+                Opening::Waiting
+            }
+        }
+    }
+
+    /// Lets a relay request grants, and decide about clients that can't wait.
+    fn poll_grants(&mut self, at: usize) {
+        let Some(quotas) = &mut self.relays[at].quotas else { return };
+        let mut out = Vec::new();
+        let next = quotas.poll_grants(self.now, &mut out);
+        self.relays[at].next_grants = next.map_or(f64::INFINITY, |after| self.now + after);
+        self.send(at as u32, out);
+        self.settle(at);
+    }
+
+    /// Takes what a relay has decided about clients that waited.
+    fn settle(&mut self, at: usize) {
+        let relay = &mut self.relays[at];
+        let Some(quotas) = &mut relay.quotas else { return };
+        for Decided { ticket, verdict } in quotas.take_decided() {
+            let Some((tenant, since)) = relay.waiting.remove(&ticket) else { continue };
+            let is_admitted = verdict == Verdict::Admit;
+            if is_admitted {
+                quotas.established(&tenant_name(tenant));
+                relay.established[tenant] += 1;
+            }
+            self.settled.push(SettledOpening { tenant, since, is_admitted });
         }
-        quotas.established(&tenant_name(tenant));
-        relay.established[tenant] += 1;
-        true
     }
 
     /// One of a tenant's connections ends somewhere.
@@ -164,13 +231,16 @@
         let at = (0..n).map(|i| (start + i) % n).find(|i| self.relays[*i].established[tenant] > 0);
         if let Some(relay) = at.map(|at| &mut self.relays[at]) {
             relay.established[tenant] -= 1;
-            relay.quotas.iter_mut().for_each(|s| s.closed(&tenant_name(tenant), true));
+            let now = self.now;
+            relay.quotas.iter_mut().for_each(|s| s.closed(now, &tenant_name(tenant), true));
+            relay.next_grants = now;
         }
     }
 
     /// Kills a relay; its clients return elsewhere within half a second.
     pub fn kill(&mut self, at: usize) {
         self.relays[at].quotas = None;
+        self.relays[at].waiting.clear();
         for (tenant, n) in std::mem::take(&mut self.relays[at].established).into_iter().enumerate() {
             self.relays[at].established.push(0);
             let back = (0..n).map(|_| (self.now + 100.0 + self.rng.random::<f64>() * 400.0, tenant));
--- a/crates/quota/tests/policy.rs
+++ b/crates/quota/tests/policy.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Cluster, tenant_name};
+use common::{Cluster, Opening, tenant_name};
 use rand::RngExt;
 use sandgw_quota::policy::ScarcitySignals;
 use sandgw_quota::tenants::Tenant;
@@ -30,6 +30,8 @@
     let mut cluster = Cluster::new(relays, SHARES.iter().enumerate().map(share).collect(), seed);
     (cluster.loss, cluster.duplication) = (0.2, 0.1);
     let (mut came, mut taken, mut held, mut n) = ([0.0; 4], [0.0; 4], [0.0; 4], 0.0);
+    // Of the clients that wait for a decision, when those arrived that count.
+    let mut counted: Vec<(usize, f64)> = Vec::new();
     for second in 0..120 {
         cluster.run(1000.0, |cluster| {
             for tenant in 0..4 {
@@ -50,13 +52,20 @@
                 let full = ScarcitySignals { endpoints: all >= 0.97 * PLACES, ..ScarcitySignals::default() };
                 let signals = if limit { full } else { ScarcitySignals::default() };
                 let at = cluster.rng.random_range(0..relays as usize);
-                let served = all < PLACES && cluster.open_at(at, tenant, false, signals);
+                let opening = (all < PLACES).then(|| cluster.open_at(at, tenant, false, signals));
                 // By chance a tenant has more than its share at times: what is within counts.
                 if second >= 60 && (tenant == 0 || cluster.truth(tenant) < 0.95 * SHARES[tenant]) {
                     came[tenant] += 1.0;
-                    taken[tenant] += f64::from(u8::from(served));
+                    taken[tenant] += f64::from(u8::from(opening == Some(Opening::Admitted)));
+                    counted.extend((opening == Some(Opening::Waiting)).then_some((tenant, cluster.now)));
                 }
             }
+            for settled in std::mem::take(&mut cluster.settled) {
+                let waited = counted.iter().position(|of| *of == (settled.tenant, settled.since));
+                let Some(waited) = waited else { continue };
+                counted.swap_remove(waited);
+                taken[settled.tenant] += f64::from(u8::from(settled.is_admitted));
+            }
             if second >= 60 {
                 n += 1.0;
                 (0..4).for_each(|tenant| held[tenant] += cluster.truth(tenant));
@@ -101,16 +110,19 @@
         for _ in 0..200 {
             cluster.run(100.0, |_| {});
             let at = cluster.rng.random_range(0..relays as usize);
-            assert!(cluster.open_at(at, 0, false, ScarcitySignals::default()), "{relays}");
+            let opening = cluster.open_at(at, 0, false, ScarcitySignals::default());
+            assert_eq!(opening, Opening::Admitted, "{relays}");
         }
         // Twenty times its connections and ten times its rate: so it is refused as soon as they are short.
         let full = ScarcitySignals { window: true, ..ScarcitySignals::default() };
-        assert!(!cluster.open_at(0, 0, false, full), "{relays}");
+        assert!(matches!(cluster.open_at(0, 0, false, full), Opening::Rejected(_)), "{relays}");
         // And no more once they have not been for five seconds.
         cluster.run(4900.0, |_| {});
-        assert!(!cluster.open_at(0, 0, false, ScarcitySignals::default()), "{relays}: it does not flap");
+        let opening = cluster.open_at(0, 0, false, ScarcitySignals::default());
+        assert!(matches!(opening, Opening::Rejected(_)), "{relays}: it does not flap");
         cluster.run(200.0, |_| {});
-        assert!(cluster.open_at(0, 0, false, ScarcitySignals::default()), "{relays}");
+        let opening = cluster.open_at(0, 0, false, ScarcitySignals::default());
+        assert_eq!(opening, Opening::Admitted, "{relays}");
     }
 }
 
@@ -131,7 +143,7 @@
                         let served = cluster.open_at(at, tenant, false, full);
                         if second >= 30 {
                             came[tenant] += 1.0;
-                            taken[tenant] += f64::from(u8::from(served));
+                            taken[tenant] += f64::from(u8::from(served == Opening::Admitted));
                         }
                     }
                 }
--- a/src/relay/actions.rs
+++ b/src/relay/actions.rs
@@ -29,11 +29,11 @@
             Action::Reject { request, retry_after } => {
                 self.count_policy_rejection(now, request);
                 self.reply(request, LocalReply::Rejected(retry_after));
-                self.remove_connection(request);
+                self.remove_connection(now, request);
             }
             Action::Fail(request) => {
                 self.reply(request, LocalReply::Failed);
-                self.remove_connection(request);
+                self.remove_connection(now, request);
             }
             Action::Migrate(request) => self.migrate_connection(request),
             Action::SetTimer { after, token } => self.commands.push(Command::SetTimer { after, token }),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -136,6 +136,7 @@
         match CoreTimer::from_token(token) {
             Some(CoreTimer::MigrationStep) => self.run_migration_step(now),
             Some(CoreTimer::UsageReport) => self.send_due_usage_reports(now),
+            Some(CoreTimer::QuotaGrant) => self.advance_quota_grants(now),
             Some(CoreTimer::DrainQuery) => self.send_drain_query(now),
             None => {
                 self.events.push_back(Event::Timer(token));
--- a/src/relay/quota_accounting.rs
+++ b/src/relay/quota_accounting.rs
@@ -1,24 +1,44 @@
-//! How the core counts connections for tenants' quotas, rejects what is over a quota, and reports usage to
-//! other relays. All uses of [`TenantQuotas`] are here.
+//! How the core counts connections for tenants' quotas, holds requests until it is decided whether they are
+//! within one, rejects those that are not, and reports usage to other relays. All uses of [`TenantQuotas`] are here.
 
-use log::warn;
-use sandgw_quota::policy::ScarcitySignals;
+use std::collections::BTreeMap;
+
+use log::{debug, warn};
+use sandgw_quota::policy::{RejectReason, ScarcitySignals, Verdict};
 use sandgw_quota::usage_table::OutgoingReport;
+use sandgw_quota::{Arrival, Decided, Rejections, Ticket};
 
 use super::Relay;
-use super::commands::Command;
+use super::commands::{Command, LocalReply};
 use super::connections::Connection;
 use super::incoming::IncomingRequest;
 use super::quotas::TenantQuotas;
 use super::timers::CoreTimer;
-use crate::policy::api::{Millis, PeerMessage, RequestId, Settings, UsageReport};
+use crate::policy::api::{Event, Key, Millis, PeerMessage, Request, RequestId, Settings, UsageReport};
+
+/// A request waits for a decision for this fraction of the time that its client has left.
+const PATIENCE_FRACTION: f64 = 0.25;
+/// How soon grants are polled after a connection has ended.
+const GRANT_POLL_MS: Millis = 20.0;
+/// After this time a client may try again whose request nobody has decided about in time.
+const NOT_GRANTED_RETRY_MS: Millis = 500.0;
 
 /// The counts, and the state of their reports.
 pub(super) struct QuotaAccounting {
     counts: TenantQuotas,
     report_timer_set: bool,
+    /// Requests that wait for a decision.
+    undecided: BTreeMap<Ticket, UndecidedRequest>,
+    grant_timer_set: bool,
     /// Rejections that were logged.
-    logged_rejections: u64,
+    logged_rejections: Rejections,
+}
+
+/// A request that waits for the decision whether its tenant is within its quota.
+struct UndecidedRequest {
+    request: Request,
+    tenant: Key,
+    since: Millis,
 }
 
 impl QuotaAccounting {
@@ -26,7 +46,9 @@
         QuotaAccounting {
             counts: TenantQuotas::new(settings, now),
             report_timer_set: false,
-            logged_rejections: 0,
+            undecided: BTreeMap::new(),
+            grant_timer_set: false,
+            logged_rejections: Rejections::default(),
         }
     }
 }
@@ -46,6 +68,7 @@
         if count_alike(settings, self.load_balancer.settings()) {
             return;
         }
+        self.place_undecided();
         let mut counts = TenantQuotas::new(settings, now);
         for connection in self.connections.values() {
             let Some(tenant) = &connection.tenant else { continue };
@@ -60,6 +83,17 @@
         }
     }
 
+    /// Places the requests that wait for a decision: the counts that it would rest on are void.
+    fn place_undecided(&mut self) {
+        for UndecidedRequest { request, tenant, .. } in
+            std::mem::take(&mut self.quota.undecided).into_values()
+        {
+            let Some(connection) = self.connections.get_mut(request.id) else { continue };
+            connection.tenant = Some(tenant);
+            self.events.push_back(Event::Request(request));
+        }
+    }
+
     /// Reports tenants' usage to the other relays where that is due, and sets the timer for the next report.
     pub(super) fn send_due_usage_reports(&mut self, now: Millis) {
         let mut reports = Vec::new();
@@ -76,6 +110,68 @@
         let mut replies = Vec::new();
         self.quota.counts.handle_report(now, peer, report, &mut replies);
         self.send_usage_reports(replies);
+        self.apply_quota_decisions(now);
+    }
+
+    /// Sends the requests for grants that are due, decides what can't wait, and sets the timer for the next.
+    pub(super) fn advance_quota_grants(&mut self, now: Millis) {
+        let mut requests = Vec::new();
+        let next_after = self.quota.counts.poll_grants(now, &mut requests);
+        self.send_usage_reports(requests);
+        self.quota.grant_timer_set = next_after.is_some();
+        if let Some(after) = next_after {
+            self.set_timer(after, CoreTimer::QuotaGrant);
+        }
+        self.apply_quota_decisions(now);
+    }
+
+    /// Keeps a request until it is decided whether its tenant is within its quota.
+    pub(super) fn await_quota_decision(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        request: Request,
+        tenant: Key,
+    ) {
+        self.quota.undecided.insert(ticket, UndecidedRequest { request, tenant, since: now });
+        if !self.quota.grant_timer_set {
+            self.advance_quota_grants(now);
+        }
+    }
+
+    fn apply_quota_decisions(&mut self, now: Millis) {
+        for Decided { ticket, verdict } in self.quota.counts.take_decided() {
+            if let Some(undecided) = self.quota.undecided.remove(&ticket) {
+                self.apply_quota_decision(now, undecided, verdict);
+            }
+        }
+        self.handle_queued_events(now);
+    }
+
+    fn apply_quota_decision(&mut self, now: Millis, undecided: UndecidedRequest, verdict: Verdict) {
+        let UndecidedRequest { mut request, tenant, since } = undecided;
+        let connection = self.connections.get_mut(request.id);
+        match (verdict, connection) {
+            (Verdict::Reject(reason), _) => self.reject_over_quota(now, request.id, reason),
+            // Its client has left meanwhile.
+            (_, None) => self.quota.counts.closed(now, &tenant.0, false),
+            (_, Some(connection)) => {
+                connection.tenant = Some(tenant);
+                request.setup_time_used += now - since;
+                self.events.push_back(Event::Request(request));
+            }
+        }
+    }
+
+    pub(super) fn reject_over_quota(&mut self, now: Millis, id: RequestId, reason: RejectReason) {
+        debug!("connection {}: rejected for its tenant's quota: {reason:?}", id.0);
+        let max_retry_after = self.load_balancer.settings().max_retry_after;
+        let retry_after = match reason {
+            RejectReason::OverQuota | RejectReason::OverPart => max_retry_after,
+            RejectReason::NotGranted => max_retry_after.map(|longest| longest.min(NOT_GRANTED_RETRY_MS)),
+        };
+        self.reply(id, LocalReply::Rejected(retry_after));
+        self.remove_connection(now, id);
     }
 
     fn send_usage_reports(&mut self, reports: Vec<OutgoingReport>) {
@@ -85,18 +181,20 @@
         }
     }
 
-    /// Whether a request is rejected since its tenant is over its quota and capacity is short. One that
-    /// goes on where it is established sets nothing up and is never rejected; it counts all the same.
-    pub(super) fn exceeds_quota(&mut self, now: Millis, incoming: &IncomingRequest) -> bool {
-        let Some(tenant) = &incoming.tenant else { return false };
+    /// Decides whether a request's tenant is within its quota, where capacity is short. One that goes on
+    /// where it is established sets nothing up and is never rejected; it counts all the same.
+    pub(super) fn decide_quota(&mut self, now: Millis, incoming: &IncomingRequest) -> Verdict {
+        let Some(tenant) = &incoming.tenant else { return Verdict::Admit };
         if incoming.mid_flow || incoming.existing_endpoint.is_some() {
             self.quota.counts.adopt(&tenant.0);
-            return false;
+            return Verdict::Admit;
         }
         let load_balancer = &self.load_balancer;
         let descriptors = incoming.descriptors_short;
         let scarcity = || ScarcitySignals { descriptors, ..load_balancer.scarcity_signals(now) };
-        self.quota.counts.rejects(now, &tenant.0, incoming.returned, scarcity)
+        let patience = (incoming.deadline - now) * PATIENCE_FRACTION;
+        let arrival = Arrival { tenant: &tenant.0, is_returning: incoming.returned, patience };
+        self.quota.counts.decide(now, arrival, scarcity)
     }
 
     /// A connection was established.
@@ -108,9 +206,12 @@
     }
 
     /// A request or connection has ended.
-    pub(super) fn count_removed(&mut self, connection: &Connection) {
-        if let Some(tenant) = &connection.tenant {
-            self.quota.counts.closed(&tenant.0, connection.counted_established);
+    pub(super) fn count_removed(&mut self, now: Millis, connection: &Connection) {
+        let Some(tenant) = &connection.tenant else { return };
+        self.quota.counts.closed(now, &tenant.0, connection.counted_established);
+        if !self.quota.grant_timer_set && self.quota.counts.awaits_grant_poll(now) {
+            self.quota.grant_timer_set = true;
+            self.set_timer(GRANT_POLL_MS, CoreTimer::QuotaGrant);
         }
     }
 
@@ -130,10 +231,14 @@
     pub(super) fn log_quota_rejections(&mut self) {
         let total = self.quota.counts.rejections();
         let logged = std::mem::replace(&mut self.quota.logged_rejections, total);
-        if total > logged {
-            let rejected = total - logged;
+        let rejected = total.total().saturating_sub(logged.total());
+        if rejected > 0 {
             warn!(
-                "quota: capacity is short, and {rejected} connections of tenants over their quota were rejected"
+                "quota: capacity is short, and {rejected} connections of tenants over their quota were rejected: \
+                 {} over the quota, {} over this relay's part of it, {} since no grant came in time",
+                total.over_quota.saturating_sub(logged.over_quota),
+                total.over_part.saturating_sub(logged.over_part),
+                total.not_granted.saturating_sub(logged.not_granted),
             );
         }
     }
--- a/src/relay/quotas.rs
+++ b/src/relay/quotas.rs
@@ -4,7 +4,7 @@
 
 use sandgw_quota::policy::{ScarcitySignals, Verdict};
 use sandgw_quota::usage_table::OutgoingReport;
-use sandgw_quota::{ClusterPosition, QuotaManager};
+use sandgw_quota::{Arrival, ClusterPosition, Decided, QuotaManager, Rejections};
 
 use crate::policy::api::*;
 
@@ -32,16 +32,27 @@
         TenantQuotas(Some(QuotaManager::new(quotas.tenants.clone(), position, now)))
     }
 
-    /// Whether a new connection is rejected. One that is not counts until [`TenantQuotas::closed`].
-    pub fn rejects(
+    /// Decides about a new connection. One that is admitted counts until [`TenantQuotas::closed`].
+    pub fn decide(
         &mut self,
         now: Millis,
-        tenant: &str,
-        is_returning: bool,
+        arrival: Arrival<'_>,
         signals: impl FnOnce() -> ScarcitySignals,
-    ) -> bool {
-        let Some(manager) = &mut self.0 else { return false };
-        manager.admit(now, tenant, is_returning, signals()) == Verdict::Reject
+    ) -> Verdict {
+        match &mut self.0 {
+            Some(manager) => manager.admit(now, arrival, signals()),
+            None => Verdict::Admit,
+        }
+    }
+
+    /// What was decided since the last call about connections that waited.
+    pub fn take_decided(&mut self) -> Vec<Decided> {
+        self.0.as_mut().map(QuotaManager::take_decided).unwrap_or_default()
+    }
+
+    /// Adds the requests for grants that are due to `out`; returns in how long to call again, if at all.
+    pub fn poll_grants(&mut self, now: Millis, out: &mut Vec<OutgoingReport>) -> Option<Millis> {
+        self.0.as_mut().and_then(|manager| manager.poll_grants(now, out))
     }
 
     /// Counts a connection without a decision: it is established already.
@@ -59,12 +70,17 @@
     }
 
     /// A counted connection has ended.
-    pub fn closed(&mut self, tenant: &str, was_established: bool) {
+    pub fn closed(&mut self, now: Millis, tenant: &str, was_established: bool) {
         if let Some(manager) = &mut self.0 {
-            manager.closed(tenant, was_established);
+            manager.closed(now, tenant, was_established);
         }
     }
 
+    /// Whether grants have to be polled.
+    pub fn awaits_grant_poll(&self, now: Millis) -> bool {
+        self.0.as_ref().is_some_and(|manager| manager.next_grant_poll(now).is_some())
+    }
+
     /// An endpoint has rejected a connection.
     pub fn endpoint_rejected(&mut self, now: Millis) {
         if let Some(manager) = &mut self.0 {
@@ -97,8 +113,8 @@
         self.0.as_mut().map(|manager| manager.poll(now, out))
     }
 
-    /// Connections rejected so far because their tenant was over its quota.
-    pub fn rejections(&self) -> u64 {
-        self.0.as_ref().map_or(0, QuotaManager::rejections)
+    /// Connections rejected so far, by reason.
+    pub fn rejections(&self) -> Rejections {
+        self.0.as_ref().map(QuotaManager::rejections).unwrap_or_default()
     }
 }
--- a/src/relay/requests.rs
+++ b/src/relay/requests.rs
@@ -3,6 +3,7 @@
 //! out at most.
 
 use log::warn;
+use sandgw_quota::policy::Verdict;
 
 use super::Relay;
 use super::commands::{Attempt, ConnectionCommand, LocalReply};
@@ -32,14 +33,17 @@
     pub fn accept_request(&mut self, now: Millis, incoming: IncomingRequest) -> RequestId {
         let id = self.connections.allocate_id();
         self.counters.connections += 1;
-        let over_quota = self.exceeds_quota(now, &incoming);
+        let verdict = self.decide_quota(now, &incoming);
         let request = self.policy_request(id, &incoming);
-        let connection = Connection::queued(&incoming, request.class, !over_quota);
+        let connection = Connection::queued(&incoming, request.class, verdict == Verdict::Admit);
         self.connections.insert(id, connection);
-        match incoming.existing_endpoint {
-            Some(endpoint) => self.attempt_existing_endpoint(request, endpoint),
-            None if over_quota => self.reject_over_quota(id),
-            None => self.events.push_back(Event::Request(request)),
+        match (verdict, incoming.existing_endpoint, incoming.tenant) {
+            (Verdict::Reject(reason), ..) => self.reject_over_quota(now, id, reason),
+            (Verdict::Wait(ticket), _, Some(tenant)) => {
+                self.await_quota_decision(now, ticket, request, tenant);
+            }
+            (_, Some(endpoint), _) => self.attempt_existing_endpoint(request, endpoint),
+            (_, None, _) => self.events.push_back(Event::Request(request)),
         }
         self.handle_queued_events(now);
         id
@@ -76,12 +80,6 @@
         self.events.push_back(Event::ExistingConnection { request, endpoint });
     }
 
-    fn reject_over_quota(&mut self, id: RequestId) {
-        let retry_after = self.load_balancer.settings().max_retry_after;
-        self.reply(id, LocalReply::Rejected(retry_after));
-        self.remove_connection(id);
-    }
-
     /// The endpoint has taken the connection, `elapsed` milliseconds after the attempt was sent: that was
     /// the final reply.
     pub fn connection_established(&mut self, now: Millis, id: RequestId, elapsed: Millis) {
@@ -110,7 +108,7 @@
             self.reply(id, LocalReply::Failed);
         }
         if finished {
-            self.remove_connection(id);
+            self.remove_connection(now, id);
         }
         self.events.push_back(Event::AttemptEnded { request: id, attempt, endpoint, outcome, finished });
         self.handle_queued_events(now);
@@ -141,7 +139,7 @@
         let queued = connection.stage == ConnectionStage::Queued;
         self.events.push_back(Event::ClientGone(id));
         if queued {
-            self.remove_connection(id);
+            self.remove_connection(now, id);
         }
         self.handle_queued_events(now);
         if !queued {
@@ -172,9 +170,9 @@
     }
 
     /// A request or connection is over.
-    pub(super) fn remove_connection(&mut self, id: RequestId) {
+    pub(super) fn remove_connection(&mut self, now: Millis, id: RequestId) {
         if let Some(connection) = self.connections.remove(id) {
-            self.count_removed(&connection);
+            self.count_removed(now, &connection);
         }
     }
 }
--- a/src/relay/timers.rs
+++ b/src/relay/timers.rs
@@ -9,12 +9,15 @@
     MigrationStep,
     /// Next report of the tenants' usage to other relays.
     UsageReport,
+    /// Next request for a grant of a tenant's connections.
+    QuotaGrant,
     /// Next query to another relay about draining endpoints.
     DrainQuery,
 }
 
 impl CoreTimer {
-    const ALL: [CoreTimer; 3] = [CoreTimer::MigrationStep, CoreTimer::UsageReport, CoreTimer::DrainQuery];
+    const ALL: [CoreTimer; 4] =
+        [CoreTimer::MigrationStep, CoreTimer::UsageReport, CoreTimer::QuotaGrant, CoreTimer::DrainQuery];
 
     /// The token that stands for this timer.
     pub(super) fn token(self) -> u64 {
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -139,6 +139,16 @@
     assert!(open[0] >= QUOTAS[0] * 3 / 4, "its own share is not refused: {open:?}");
 }
 
+/// Guards against a flood that takes another tenant's part: at relays that do not know of each other's
+/// connections, that have just started, or that see no sign of scarcity themselves.
+#[test]
+fn a_flood_at_all_relays_leaves_a_small_tenant_its_quota() {
+    let (served, open) = rounds(true);
+    println!("served of those who came, big and small: {served:.2?}; open at the end: {open:?} of {QUOTAS:?}");
+    assert!(served[1] >= 0.9, "{served:?}");
+    assert!(open[0] >= QUOTAS[0] * 3 / 4 && open[0] <= QUOTAS[0] * 5 / 4, "{open:?}");
+}
+
 /// While capacity is not scarce nobody is rejected, however far over quota.
 #[test]
 fn where_there_is_room_nobody_is_refused() {
