Make the first poll soon only where nothing is placed before it

Cause: the choice was made by a setting. Now the load balancer makes it when it is told that the list may not be used.

--- a/crates/cluster/src/poll_scheduler/mod.rs
+++ b/crates/cluster/src/poll_scheduler/mod.rs
@@ -82,9 +82,6 @@
     pub first_backoff: Millis,
     /// How long the list may go without a poll, in milliseconds.
     pub max_interval: Millis,
-    /// Whether other relays tell which endpoints have left. Where they do not, a relay that starts takes no
-    /// clients before its first poll has ended.
-    pub drain_gossip: bool,
 }
 
 /// One relay's polls of discovery.
@@ -94,7 +91,7 @@
 /// use sandgw_cluster::poll_scheduler::{PollScheduler, PollSettings};
 ///
 /// let position = ClusterPosition { local_index: 7, relay_count: 300 };
-/// let settings = PollSettings { position, first_backoff: 200.0, max_interval: 5000.0, drain_gossip: true };
+/// let settings = PollSettings { position, first_backoff: 200.0, max_interval: 5000.0 };
 /// let (mut scheduler, mut out) = (PollScheduler::new(7), Vec::new());
 /// scheduler.start(0.0, &settings);
 /// let at = scheduler.timer(0.0).expect("the first poll is due");
@@ -124,18 +121,19 @@
 
     /// Schedules the first poll.
     pub fn start(&mut self, now: Millis, settings: &PollSettings) {
-        let draw = self.random.next_fraction();
-        let delay = if !settings.position.is_large() {
-            0.0
-        } else if settings.drain_gossip {
-            draw * self.poll_round(now, settings)
-        } else {
-            delay_after_silent_watch(settings.position.relay_count, draw)
-        };
+        let round = self.poll_round(now, settings);
+        let delay = if settings.position.is_large() { self.random.next_fraction() * round } else { 0.0 };
         self.started_at = now;
         self.next_poll_at = Some(now + delay);
     }
 
+    /// The same for a relay that takes no clients before its first poll has ended.
+    pub fn start_soon(&mut self, now: Millis, settings: &PollSettings) {
+        let draw = self.random.next_fraction();
+        self.started_at = now;
+        self.next_poll_at = Some(now + delay_after_silent_watch(settings.position.relay_count, draw));
+    }
+
     /// A poll has failed, or a watch was broken off: schedules the next one. The backoff is jittered, so
     /// that relays that were turned away together do not come back together.
     pub fn record_failure(&mut self, now: Millis, settings: &PollSettings, out: &mut Outbox) {
--- a/crates/cluster/tests/drain_simulation/mod.rs
+++ b/crates/cluster/tests/drain_simulation/mod.rs
@@ -70,7 +70,6 @@
             position: ClusterPosition { local_index, relay_count: self.relays },
             first_backoff: 200.0,
             max_interval: 5_000.0,
-            drain_gossip: true,
         }
     }
 
--- a/crates/cluster/tests/poll_scheduler.rs
+++ b/crates/cluster/tests/poll_scheduler.rs
@@ -210,7 +210,7 @@
 /// The settings of one relay.
 fn settings(local_index: u32, relay_count: u32) -> PollSettings {
     let position = ClusterPosition { local_index, relay_count };
-    PollSettings { position, first_backoff: 200.0, max_interval: 5_000.0, drain_gossip: true }
+    PollSettings { position, first_backoff: 200.0, max_interval: 5_000.0 }
 }
 
 #[test]
@@ -307,13 +307,12 @@
     assert_eq!(delay_after_silent_watch(4, 0.9), 0.0);
 }
 
-/// Guards against relays that serve nobody, or by a list of before, for seconds after they have started.
+/// Guards against relays that serve nobody for seconds after they have started.
 #[test]
-fn where_relays_tell_each_other_nothing_all_poll_soon_after_they_start() {
+fn relays_that_serve_nobody_before_their_first_poll_make_it_soon() {
     for seed in 0..300 {
-        let settings = PollSettings { drain_gossip: false, ..settings(seed, 300) };
         let mut scheduler = PollScheduler::new(u64::from(seed));
-        scheduler.start(1000.0, &settings);
+        scheduler.start_soon(1000.0, &settings(seed, 300));
         let delay = scheduler.timer(1000.0).unwrap_or(0.0);
         assert!((0.0..=1500.0).contains(&delay), "relay {seed} polls after {delay} ms");
     }
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -156,13 +156,14 @@
 
 /// Takes the configured list where no predecessor process had one.
 fn load_configured_list(shared: &Rc<Shared>, configured: ConfiguredList) {
+    // First, so that the first poll is made soon where nothing is placed before it.
+    shared.core(Relay::track_list_lease);
     if !shared.relay.borrow().has_endpoint_list() {
         *shared.endpoint_list.borrow_mut() = configured.endpoint_list;
         shared.handle_list_update(ListKind::Cached, configured.entries, shared.clock.now());
     }
     let seed = shared.config.borrow().seed;
     shared.endpoint_list.borrow_mut().reseed(seed);
-    shared.core(Relay::track_list_lease);
 }
 
 /// Takes over from the predecessor process. Where it breaks the link, it is asked again if it still runs.
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -159,6 +159,9 @@
     /// The list may be used until another time: requests that wait for it are looked at again.
     pub(super) fn handle_list_lease(&mut self, now: Millis, valid_until: Millis, actions: &mut Actions) {
         self.list_valid_until = valid_until;
+        if now > valid_until {
+            self.cluster.serve_after_first_poll();
+        }
         for id in std::mem::take(&mut self.awaiting_list) {
             self.dispatch(now, id, 0.0, actions);
         }
--- a/src/policy/cluster_state.rs
+++ b/src/policy/cluster_state.rs
@@ -42,6 +42,8 @@
     packet_passthrough: bool,
     /// Whether the relays may send each other messages.
     peer_messages: bool,
+    /// Nothing is placed before the first poll has ended.
+    serves_after_first_poll: bool,
     has_restored_sizes: bool,
     outbox: Outbox,
 }
@@ -67,6 +69,7 @@
             polls_discovery: polls_discovery(settings),
             packet_passthrough: settings.packet_passthrough,
             peer_messages: settings.peer_messages,
+            serves_after_first_poll: false,
             has_restored_sizes: false,
             outbox: Outbox::new(),
         }
@@ -91,7 +94,11 @@
                 self.poll_scheduler.record_answer(now, &self.poll_settings, &mut self.outbox);
             }
             ListKind::Cached if self.polls_discovery => {
-                self.poll_scheduler.start(now, &self.poll_settings);
+                if self.serves_after_first_poll {
+                    self.poll_scheduler.start_soon(now, &self.poll_settings);
+                } else {
+                    self.poll_scheduler.start(now, &self.poll_settings);
+                }
             }
             ListKind::Cached | ListKind::Failed | ListKind::Gossip => {}
         }
@@ -100,6 +107,11 @@
         }
     }
 
+    /// Nothing is placed before the first poll has ended: it is made soon.
+    pub fn serve_after_first_poll(&mut self) {
+        self.serves_after_first_poll = true;
+    }
+
     /// A poll of the list has failed, or its watch broke off.
     pub fn list_poll_failed(&mut self, now: Millis) {
         self.poll_scheduler.record_failure(now, &self.poll_settings, &mut self.outbox);
@@ -306,7 +318,6 @@
         position: position(settings),
         first_backoff: settings.connect_timeout,
         max_interval: settings.list_max_age / MAX_POLL_INTERVAL_DIVISOR,
-        drain_gossip: settings.peer_messages,
     }
 }
 
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -144,7 +144,9 @@
 #[test]
 fn a_flood_at_all_relays_leaves_a_small_tenant_its_quota() {
     let (served, open) = rounds(true);
-    println!("served of those who came, big and small: {served:.2?}; open at the end: {open:?} of {QUOTAS:?}");
+    println!(
+        "served of those who came, big and small: {served:.2?}; open at the end: {open:?} of {QUOTAS:?}"
+    );
     assert!(served[1] >= 0.9, "{served:?}");
     assert!(open[0] >= QUOTAS[0] * 3 / 4 && open[0] <= QUOTAS[0] * 5 / 4, "{open:?}");
 }
