Add a soak of drawn clusters, loads and faults

There was no soak: restarts, signals in series, crowds and outages were each tested alone. crates/test-cluster/src/soak draws all from a seed (1 to 24 relays, pass or proxy, messages between relays or none, classes' effects, deadlines, load, faults); examples/soak.rs runs any number of seeds, tests/soak.rs three short ones. Clients stay on their connections until SIGKILL, which comes 3.7 s after SIGTERM; SIGHUP and SIGTERM come in series; idle clients fill descriptors while discovery is up, mute or down. Not drawn yet: quotas, pushed lists, RTMP, hand-overs, a discovery that moves.

--- a/crates/test-cluster/src/cluster.rs
+++ b/crates/test-cluster/src/cluster.rs
@@ -8,18 +8,19 @@
 use std::sync::Arc;
 
 use serde_json::Value;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::fault_proxy::{DatagramMesh, DelayRange, LinkFaults};
 use crate::fault_schedule::{Fault, FaultSchedule};
 use crate::invariants::{Verdict, check_invariants};
 use crate::load_clients::{HealthChecker, LoadClients, LoadPlan};
-use crate::log::EventKind;
+use crate::log::{EventKind, RelayIndex};
 use crate::process::{RelayConfig, RelayProcess};
 use crate::settings::{RuleSettings, relay_settings};
 use crate::stub_discovery::{EndpointEntry, EndpointPhase, ServiceModel, StubDiscovery};
-use crate::stub_endpoints::{EndpointModel, StubEndpoints};
+use crate::stub_endpoints::{Behaviour, EndpointModel, StubEndpoints};
 use crate::{Log, Millis, TestClusterError, duration, free_address, raise_descriptor_limit, unix_ms};
 
 /// Descriptors besides those for relays; each client takes two or three while it is connected.
@@ -34,6 +35,8 @@
 const STALL_CHECK_INTERVAL_MS: Millis = 20.0;
 /// How late such a check has to be to count as a stall.
 const MIN_STALL_MS: Millis = 50.0;
+/// How long an idle client may take to connect: a relay without descriptors takes nobody.
+const CROWD_CONNECT_TIMEOUT_MS: Millis = 100.0;
 /// The zones of the endpoints, in turn.
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -116,6 +119,8 @@
     pub endpoints: StubEndpoints,
     /// The check of which relays clients can use.
     pub health: Arc<HealthChecker>,
+    /// Idle clients of a crowd.
+    idle_clients: Vec<TcpStream>,
     /// The task that records stalls of the stand-ins' thread.
     _stall_recorder: JoinSet<()>,
 }
@@ -156,6 +161,7 @@
             discovery,
             endpoints,
             health,
+            idle_clients: Vec::new(),
             _stall_recorder: stall_recorder,
         })
     }
@@ -224,6 +230,8 @@
             }
             Fault::DiscoveryDown => self.discovery.update(|service| service.down = true),
             Fault::DiscoveryUp => self.discovery.update(|service| service.down = false),
+            Fault::DiscoveryMute => self.discovery.update(|service| service.unresponsive = true),
+            Fault::DiscoveryAnswers => self.discovery.update(|service| service.unresponsive = false),
             Fault::SilenceWatches => self.discovery.silence_watches(),
             Fault::DrainEndpoint { endpoint, within_ms } => {
                 let id = self.endpoint_id(*endpoint);
@@ -237,10 +245,28 @@
             }
             Fault::StartEndpoint(endpoint) => self.start_endpoint(*endpoint).await?,
             Fault::AddEndpoint => self.add_endpoint().await?,
+            Fault::HangEndpoint(endpoint) => self.set_behaviour(*endpoint, Behaviour::HangingSetups),
+            Fault::RecoverEndpoint(endpoint) => self.set_behaviour(*endpoint, Behaviour::Healthy),
+            Fault::Crowd { relay, clients } => self.crowd(*relay, *clients).await,
+            Fault::CrowdLeaves => self.idle_clients.clear(),
         }
         Ok(())
     }
 
+    fn set_behaviour(&self, endpoint: usize, behaviour: Behaviour) {
+        self.endpoints.set_behaviour(&self.endpoint_id(endpoint), behaviour);
+    }
+
+    /// Connects idle clients to a relay, as many as it takes at once.
+    async fn crowd(&mut self, relay: RelayIndex, clients: usize) {
+        let listen = self.relays[relay].config.listen;
+        for _ in 0..clients {
+            let connected = timeout(duration(CROWD_CONNECT_TIMEOUT_MS), TcpStream::connect(listen)).await;
+            let Ok(Ok(stream)) = connected else { return };
+            self.idle_clients.push(stream);
+        }
+    }
+
     /// Starts an endpoint again, cold.
     async fn start_endpoint(&self, endpoint: usize) -> Result<(), TestClusterError> {
         let id = self.endpoint_id(endpoint);
--- a/crates/test-cluster/src/fault_schedule.rs
+++ b/crates/test-cluster/src/fault_schedule.rs
@@ -45,6 +45,10 @@
     DiscoveryDown,
     /// Discovery is up again.
     DiscoveryUp,
+    /// Discovery takes calls and answers none.
+    DiscoveryMute,
+    /// Discovery answers again.
+    DiscoveryAnswers,
     /// Watches that are open now are never answered.
     SilenceWatches,
     /// An endpoint takes nothing new and asks its clients to reconnect.
@@ -60,6 +64,26 @@
     StartEndpoint(usize),
     /// An endpoint that was never there starts, cold, behind all others in their order.
     AddEndpoint,
+    /// An endpoint takes set-ups and never answers them.
+    HangEndpoint(usize),
+    /// It answers again.
+    RecoverEndpoint(usize),
+    /// Idle clients connect to a relay.
+    Crowd {
+        /// The relay.
+        relay: RelayIndex,
+        /// How many.
+        clients: usize,
+    },
+    /// All idle clients leave.
+    CrowdLeaves,
+}
+
+impl Fault {
+    /// Datagrams arrive once and at once.
+    pub fn calm_datagrams() -> Fault {
+        Fault::DatagramNoise { loss_fraction: 0.0, duplicate_fraction: 0.0, max_delay_ms: 0.0 }
+    }
 }
 
 /// What is to be drawn.
@@ -193,7 +217,7 @@
     let max_delay_ms = rng.random_range(0.0..MAX_DRAWN_DELAY_MS);
     DrawnFault::ended_by(
         Fault::DatagramNoise { loss_fraction, duplicate_fraction, max_delay_ms },
-        Fault::DatagramNoise { loss_fraction: 0.0, duplicate_fraction: 0.0, max_delay_ms: 0.0 },
+        Fault::calm_datagrams(),
     )
 }
 
--- a/crates/test-cluster/src/lib.rs
+++ b/crates/test-cluster/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod process;
 pub mod service_levels;
 pub mod settings;
+pub mod soak;
 pub mod stub_discovery;
 pub mod stub_endpoints;
 
