--- a/crates/test-cluster/src/process.rs
+++ b/crates/test-cluster/src/process.rs
@@ -106,6 +106,8 @@
     folder: TempDir,
     child: Option<Child>,
     starts: u64,
+    /// How often a process of it has ended without SIGKILL.
+    ended_by_itself: u64,
 }
 
 impl RelayProcess {
@@ -117,7 +119,15 @@
     pub fn new(index: RelayIndex, config: RelayConfig, log: &Log) -> Result<RelayProcess, TestClusterError> {
         let folder =
             tempfile::tempdir().map_err(|source| TestClusterError::Folder { relay: index, source })?;
-        Ok(RelayProcess { index, config, log: log.clone(), folder, child: None, starts: 0 })
+        Ok(RelayProcess {
+            index,
+            config,
+            log: log.clone(),
+            folder,
+            child: None,
+            starts: 0,
+            ended_by_itself: 0,
+        })
     }
 
     /// Its name, the same after a restart.
@@ -206,6 +216,7 @@
     /// Sends SIGKILL and waits for the end of the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            self.ended_by_itself += u64::from(matches!(child.try_wait(), Ok(Some(_))));
             let _ = child.kill();
             let _ = child.wait();
             self.log.record(EventKind::RelayDied(self.index));
@@ -259,6 +270,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// How often a process of this relay has ended before it was killed.
+    pub fn ended_by_itself(&self) -> u64 {
+        self.ended_by_itself
+    }
+
     /// Whether the process runs. One that has ended by itself is recorded as dead.
     pub fn is_running(&mut self) -> bool {
         let ended = self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)));
--- a/crates/test-cluster/src/soak/episodes.rs
+++ b/crates/test-cluster/src/soak/episodes.rs
@@ -15,7 +15,7 @@
 const PAUSE_MS: std::ops::Range<Millis> = 200.0..1200.0;
 /// Idle clients of a crowd: more than a relay may have descriptors.
 const CROWD_CLIENTS: usize = 1100;
-const EPISODE_KINDS: u32 = 12;
+const EPISODE_KINDS: u32 = 13;
 
 /// What the draws depend on.
 struct Cluster {
@@ -70,10 +70,7 @@
             6 if self.peer_messages => ended_by(draw_noise(rng), Fault::calm_datagrams()),
             7 => ended_by(Fault::DiscoveryDown, Fault::DiscoveryUp),
             8 => ended_by(Fault::DiscoveryMute, Fault::DiscoveryAnswers),
-            9 => ended_by(
-                Fault::DrainEndpoint { endpoint, within_ms: lasts_ms / 2.0 },
-                Fault::StartEndpoint(endpoint),
-            ),
+            9 => draw_drain(rng, endpoint),
             10 => ended_by(Fault::KillEndpoint(endpoint), Fault::StartEndpoint(endpoint)),
             11 => draw_crowd(rng, relay, lasts_ms),
             _ => ended_by(Fault::HangEndpoint(endpoint), Fault::RecoverEndpoint(endpoint)),
@@ -111,6 +108,16 @@
     steps
 }
 
+/// That relays stop sending to an endpoint that drains shows only after a while.
+fn draw_drain(rng: &mut StdRng, endpoint: usize) -> Vec<FaultStep> {
+    let within_ms = rng.random_range(200.0..2000.0);
+    let ends_ms = rng.random_range(4000.0..7000.0);
+    vec![
+        step(0.0, Fault::DrainEndpoint { endpoint, within_ms }),
+        step(ends_ms, Fault::StartEndpoint(endpoint)),
+    ]
+}
+
 fn draw_noise(rng: &mut StdRng) -> Fault {
     Fault::DatagramNoise {
         loss_fraction: rng.random_range(0.0..0.4),
--- a/crates/test-cluster/src/soak/mod.rs
+++ b/crates/test-cluster/src/soak/mod.rs
@@ -57,7 +57,7 @@
     let mut faults = Vec::new();
     for relay in &mut cluster.relays {
         let number = relay.index;
-        if !relay.is_running() {
+        if relay.ended_by_itself() > 0 || !relay.is_running() {
             faults.push(SoakFault::RelayEnded(number));
             continue;
         }
--- a/crates/test-cluster/src/soak/scenario.rs
+++ b/crates/test-cluster/src/soak/scenario.rs
@@ -20,7 +20,9 @@
 /// The largest cluster that is drawn.
 const MAX_RELAYS: usize = 24;
 /// Clients that arrive in a second.
-const ARRIVALS_PER_S: f64 = 20.0;
+const ARRIVALS_PER_S: std::ops::Range<f64> = 20.0..80.0;
+/// What warm endpoints can do, as a multiple of what the clients need.
+const CAPACITY_FACTOR: std::ops::Range<f64> = 1.5..4.0;
 /// What a machine that is busy with other work may be late by.
 const GRACE_MS: Millis = 1500.0;
 /// The fraction of clients to be served of each class, tenant and third of a run.
@@ -81,6 +83,14 @@
     pub warm_endpoints: usize,
     /// Endpoints that start with the cluster.
     pub cold_endpoints: usize,
+    /// Set-ups a second that a warm endpoint takes.
+    pub setups_per_s: f64,
+    /// Connections that an endpoint holds at most.
+    pub max_connections: usize,
+    /// The fraction of its warm capacity with which an endpoint starts.
+    pub cold_capacity_fraction: f64,
+    /// The multiple of its present capacity at which a cold endpoint is overloaded.
+    pub overload_multiple: f64,
     /// Whether packets pass through, so that connections outlive their relay.
     pub packet_passthrough: bool,
     /// Whether relays may send each other messages.
@@ -126,18 +136,24 @@
             line_interval_ms: rng.random_range(200.0..2000.0),
             ..LoadPlan::default()
         };
+        let arrivals_per_s = rng.random_range(ARRIVALS_PER_S);
+        let capacity = rng.random_range(CAPACITY_FACTOR) / warm_endpoints as f64;
         let schedule = episodes::draw(&mut rng, relays, warm_endpoints, peer_messages, duration_ms);
         SoakScenario {
             seed,
             relays,
             warm_endpoints,
             cold_endpoints: rng.random_range(0..=2),
+            cold_capacity_fraction: rng.random_range(0.05..0.35),
+            overload_multiple: rng.random_range(1.5..3.0),
+            setups_per_s: arrivals_per_s * capacity,
+            max_connections: (arrivals_per_s * load.stay_ms / 1000.0 * capacity) as usize,
             packet_passthrough: rng.random_bool(0.5),
             peer_messages,
             discovery_call_cost_ms: if rng.random_bool(0.3) { 40.0 } else { 0.0 },
             class_effects,
             duration_ms,
-            clients: (duration_ms / 1000.0 * ARRIVALS_PER_S) as usize,
+            clients: (duration_ms / 1000.0 * arrivals_per_s) as usize,
             load,
             schedule,
             min_served_fraction: MIN_SERVED_FRACTION,
@@ -147,9 +163,13 @@
     pub(super) fn cluster_config(&self, binary: &Path) -> ClusterConfig {
         let mut config = ClusterConfig::new(binary, self.relays, self.warm_endpoints);
         config.cold_endpoints = self.cold_endpoints;
+        config.setups_per_s = self.setups_per_s;
+        config.max_connections = self.max_connections;
         config.discovery =
             ServiceModel { call_cost_ms: self.discovery_call_cost_ms, ..ServiceModel::default() };
         config.rules.grace_ms = GRACE_MS;
+        config.rules.cold_capacity_fraction = self.cold_capacity_fraction;
+        config.rules.overload_multiple = self.overload_multiple;
         config.rules.packet_passthrough = self.packet_passthrough;
         config.classes = CLASSES.to_vec();
         config.tenants = TENANTS.to_vec();
