Read only an export's times exactly, not all JSON of the program

Cause: float_roundtrip in crates/affinity-store is on for the whole program by Cargo's union of features, and changes the last digits of what the adapter reads. Now the export's times alone are read from their text by the standard library.

--- a/crates/affinity-store/src/commands/export_line.rs
+++ b/crates/affinity-store/src/commands/export_line.rs
@@ -4,7 +4,9 @@
 
 use sandgw_affinity::endpoint_registry::{EndpointName, EndpointTag};
 use sandgw_affinity::{Changes, Millis, Record};
+use serde::de::{Deserializer, Error as _};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 /// One line of an export. Keys and tags are hexadecimal digits: not every reader of JSON takes integers of
@@ -19,6 +21,7 @@
         /// The endpoint's tag.
         holder: String,
         /// When it was placed, in milliseconds.
+        #[serde(deserialize_with = "read_millis")]
         at_ms: Millis,
     },
     /// A group and its endpoints.
@@ -28,6 +31,7 @@
         /// Tags of the endpoints and the load on them, in mean connections.
         holders: Vec<(String, f32)>,
         /// When it was last changed, in milliseconds.
+        #[serde(deserialize_with = "read_millis")]
         at_ms: Millis,
     },
     /// The endpoint that a tag stands for.
@@ -38,10 +42,17 @@
         /// The endpoint's id.
         id: String,
         /// When it started, in milliseconds; 0 for long past.
+        #[serde(deserialize_with = "read_millis")]
         started_ms: Millis,
     },
 }
 
+/// Reads a time as it was written. `serde_json` itself may be off by one unit in the last place.
+fn read_millis<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Millis, D::Error> {
+    let number = Box::<RawValue>::deserialize(deserializer)?;
+    number.get().parse().map_err(D::Error::custom)
+}
+
 /// Why a line can't be imported.
 #[derive(Debug, Error)]
 pub enum LineError {
