--- a/review/rig/drain.rs
+++ b/review/rig/drain.rs
@@ -57,7 +57,10 @@
         .map(|n| start_streamer(n, site.zones[n % site.zones.len()], site.paced_goaway, record, &seen))
         .collect::<io::Result<_>>()?;
     let service = if trouble { case.service } else { Service::Prompt };
-    record.say(&format!("site {}, {} relays, {} streamers, discovery: {service:?}", site.name, site.relays, site.streamers));
+    record.say(&format!(
+        "site {}, {} relays, {} streamers, discovery: {service:?}",
+        site.name, site.relays, site.streamers
+    ));
     let discovery = Discovery::start(service, site.relays, &streamers, record)?;
     let (_, known) = discovery.list(None);
     sleep_ms(if trouble { case.before_start_ms } else { 0.0 });
@@ -76,7 +79,10 @@
                 streamer.drain();
                 let revision = discovery.set_phase(streamer.index, "Terminating");
                 let at = record.now();
-                record.say(&format!("{:.0}: discovery has that {} drains, revision {revision}", at, streamer.id));
+                record.say(&format!(
+                    "{:.0}: discovery has that {} drains, revision {revision}",
+                    at, streamer.id
+                ));
                 drained.push((streamer.index, revision, at));
             }
         }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -29,7 +29,10 @@
         }
     };
     let temporary = std::env::temp_dir().join(format!("sandgw-review-{}", std::process::id()));
-    record.say(&format!("case {case}, {}", if trouble { "with the disruption" } else { "without the disruption" }));
+    record.say(&format!(
+        "case {case}, {}",
+        if trouble { "with the disruption" } else { "without the disruption" }
+    ));
     let result = std::fs::create_dir_all(&temporary).and_then(|()| match case.as_str() {
         "drain-crowded" => drain::run(&drain::CROWDED, &root, &temporary, &record, trouble),
         "drain-slow" => drain::run(&drain::SLOW, &root, &temporary, &record, trouble),
--- a/review/rig/restart.rs
+++ b/review/rig/restart.rs
@@ -18,7 +18,10 @@
     let streamers: Vec<Arc<Streamer>> = (0..site.streamers)
         .map(|n| start_streamer(n, site.zones[n % site.zones.len()], site.paced_goaway, record, &seen))
         .collect::<io::Result<_>>()?;
-    record.say(&format!("site {} in proxy mode, {} relays, {} streamers", site.name, site.relays, site.streamers));
+    record.say(&format!(
+        "site {} in proxy mode, {} relays, {} streamers",
+        site.name, site.relays, site.streamers
+    ));
     let discovery = Discovery::start(Service::Prompt, site.relays, &streamers, record)?;
     let (_, known) = discovery.list(None);
     let mut relays = start_relays(site, "proxy", root, folder, &discovery, &known, record)?;
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -174,7 +174,8 @@
         }
         seen.arrivals.lock().unwrap().push(Arrival { streamer: self.index, id: id.clone(), first_byte });
         if self.draining.load(Ordering::SeqCst) {
-            record.line(&format!("{} <- OPEN {id} (first byte at {first_byte:.1}) ; BUSY, draining", self.id));
+            record
+                .line(&format!("{} <- OPEN {id} (first byte at {first_byte:.1}) ; BUSY, draining", self.id));
             stream.write_all(b"BUSY\r\n")?;
             return stream.shutdown(Shutdown::Write);
         }
@@ -849,8 +850,7 @@
         stream.set_nodelay(true)?;
         let Wish { class, tenant, deadline_ms, group, key, .. } = wish;
         let tenant = if tenant.is_empty() { String::new() } else { format!(",t={tenant}") };
-        let open =
-            format!("OPEN {} {key} c={class}{tenant},d={deadline_ms},g={group}{marks}\r\n", visit.id);
+        let open = format!("OPEN {} {key} c={class}{tenant},d={deadline_ms},g={group}{marks}\r\n", visit.id);
         stream.write_all(open.as_bytes())?;
         self.record.line(&format!("client -> relay {}: {}", visit.relay, open.trim_end()));
         visit.end = End::NoAnswer;
