Review stand-ins: one limit of 30 s until all relays are ready

Cause: the limit was for each relay, so that five slow starts could have passed 120 s. Change: review/rig/rig.rs.

--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -613,7 +613,7 @@
     /// Asks `PING` as the front does, until the answer is `PONG`.
     pub fn wait_ready(&mut self, limit_ms: Millis, record: &Record) -> bool {
         let start = Instant::now();
-        while start.elapsed() < Duration::from_secs_f64(limit_ms / 1000.0) {
+        while start.elapsed().as_secs_f64() * 1000.0 < limit_ms {
             if self.ping().is_ok_and(|answer| answer == "PONG") {
                 record.line(&format!("front: relay {} answers PONG", self.index));
                 return true;
@@ -693,8 +693,10 @@
         };
         relays.push(Relay::start(&plan, record)?);
     }
+    // All relays have to be ready within 30 s together, so that a case never runs for long.
+    let limit = record.now() + 30_000.0;
     for relay in &mut relays {
-        if !relay.wait_ready(30_000.0, record) {
+        if !relay.wait_ready(limit - record.now(), record) {
             return Err(io::Error::other(format!("relay {} was not ready", relay.index)));
         }
     }
