--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -143,12 +143,15 @@
             }
             CallOutcome::Failed(failed) => {
                 let FailedCall { error, elapsed, .. } = &failed;
-                warn!("discovery at {address}: {error}, after {elapsed:.0} ms; {}", error.help());
-                let poll_failed = if failed.indicates_outage() {
-                    Relay::discovery_unreachable
+                let (verdict, poll_failed): (_, fn(&mut Relay, Millis)) = if failed.indicates_outage() {
+                    ("unreachable", Relay::discovery_unreachable)
                 } else {
-                    Relay::discovery_poll_failed
+                    ("overloaded", Relay::discovery_poll_failed)
                 };
+                warn!(
+                    "discovery at {address}: {error}, after {elapsed:.0} ms; counts as {verdict}; {}",
+                    error.help()
+                );
                 self.shared.with_core(poll_failed);
                 self.handle_failure(&failed.error).await
             }
--- a/src/relay/list_lease.rs
+++ b/src/relay/list_lease.rs
@@ -47,6 +47,9 @@
     /// Records that a poll found that discovery can't be reached: the relay goes on serving by the list that
     /// it has.
     pub fn discovery_unreachable(&mut self, now: Millis) {
+        if self.is_bound_by_lease() {
+            info!("discovery: unreachable, so the list stays valid for {LIST_LEASE_MS:.0} ms more");
+        }
         self.renew_list_lease(now);
     }
 
