--- a/crates/cluster/src/list_lease.rs
+++ b/crates/cluster/src/list_lease.rs
@@ -3,8 +3,8 @@
 //! [`ListLease`] holds the time at which this permission ends. Its inputs are the time in milliseconds and
 //! the outcome of polls. A change of the list counts as known to every relay [`LIST_LEASE_MS`] after
 //! discovery had the change and could be reached, whether or not the change has arrived. Each answer
-//! therefore confirms the list for that long, and a list whose lease has expired may name endpoints that have
-//! left. The list that a process starts with is of unknown age, so it has no lease.
+//! therefore confirms the list for that long after the time as of which it shows the list, and a list whose
+//! lease has expired may name endpoints that have left. The list that a process starts with is of unknown age, so it has no lease.
 
 use crate::Millis;
 
@@ -28,10 +28,12 @@
 }
 
 impl ListLease {
-    /// Renews the lease after discovery has answered or could not be reached: a change that discovery makes
-    /// from now on does not count as known before the lease expires.
-    pub fn renew(&mut self, now: Millis) {
-        self.expires_at = Some(now + LIST_LEASE_MS);
+    /// Renews the lease after discovery has answered with the list as of `confirmed_at`, or could not be
+    /// reached then: a change that discovery makes later does not count as known before the lease expires. An
+    /// older confirmation never shortens the lease.
+    pub fn renew(&mut self, confirmed_at: Millis) {
+        let expires_at = confirmed_at + LIST_LEASE_MS;
+        self.expires_at = Some(self.expires_at.map_or(expires_at, |end| end.max(expires_at)));
     }
 
     /// When the lease expires or expired; `None` if it was never renewed.
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 //! of the answer to [`EndpointList::apply_answer`]. A watch is a request that discovery holds until the list
 //! changes or a given wait ends. When to poll is decided by `sandgw_cluster::poll_scheduler`.
 
+mod call;
 mod entry;
 mod errors;
 
@@ -14,6 +15,7 @@
 use serde_json::Value;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use call::{FailedCall, Reachability, SentCall};
 pub use errors::{CallError, ListError};
 
 use self::entry::ListedEndpoint;
@@ -28,11 +30,25 @@
 /// known 6 s later, whether or not it has arrived: by then the relay has to have noticed the silence and
 /// received the answer to another request.
 pub const MAX_WAIT_MS: Millis = 2500.0;
-/// Time that the answer to a watch may take beyond the wait, in ms. After that the watch counts as broken.
+/// Time that the answer to a watch may take beyond the wait and the service's latency, in ms. After that the
+/// watch counts as broken.
 pub const ANSWER_GRACE_MS: Millis = 1000.0;
-/// Timeout of a request that is not a watch, in ms. Discovery answers such a request at once, after at most
-/// the 2 s for which it lets a request queue.
-pub const LIST_TIMEOUT_MS: Millis = 2500.0;
+/// After this time without an answer, a call that is not a watch is overdue, in ms. Its answer is still
+/// accepted: the service may be slow.
+pub const OVERDUE_MS: Millis = 2500.0;
+/// While an overdue call is open, the next call is sent at the earliest this long after it, in ms.
+pub const SECOND_CALL_AFTER_MS: Millis = 3500.0;
+/// How long an overdue call may stay open, in ms.
+pub const MAX_CALL_MS: Millis = 30_000.0;
+/// Time within which the connection for a call has to be established, in ms. Otherwise discovery is
+/// unreachable.
+pub const CONNECT_TIMEOUT_MS: Millis = 1500.0;
+/// Shortest wait of a watch after a slow answer, in ms. Its answer confirms a list that the slow answer had
+/// shown as of long ago.
+const MIN_WAIT_AFTER_SLOW_ANSWER_MS: Millis = 100.0;
+/// Longest latency of the service for which watches allow, in ms. A list that is confirmed later than this
+/// may not be used anyway.
+const MAX_LATENCY_MS: Millis = 6000.0;
 /// Pause before the next request to a discovery service that has not answered since its address was
 /// configured, in ms. The pause is short because the service's changes count as known 4 s later.
 pub const RETRY_MS: Millis = 250.0;
@@ -49,9 +65,12 @@
     unconfirmed: bool,
     /// For how long discovery may hold the latest request; 0 unless the request is a watch.
     wait: Millis,
+    /// How long the latest answer took beyond the time for which discovery held the request, in ms.
+    latency: Millis,
     seed: u64,
-    /// The request that waits for an answer, if any: `Some(revision)` where it asks for changes since that
-    /// revision, `None` where it asks for the full list.
+    /// The latest request, unless it was answered: `Some(revision)` where it asks for changes since that
+    /// revision, `None` where it asks for the full list. An overdue call that is open beside the latest one
+    /// asks for the same: the revision changes with an answer only.
     pending_request: Option<Option<u64>>,
     addresses: BTreeMap<EndpointId, SocketAddr>,
     /// The entries of the endpoint list as received from discovery, to be handed over to the successor
@@ -106,6 +125,7 @@
     pub fn service_replaced(&mut self) {
         self.revision = None;
         self.unconfirmed = false;
+        self.latency = 0.0;
         // An answer of the old service to the pending request is not for the list that is requested now.
         self.pending_request = None;
     }
@@ -115,9 +135,9 @@
         self.seed = seed;
     }
 
-    /// Timeout of the latest request.
+    /// After how long without an answer the latest request is overdue.
     pub fn timeout(&self) -> Millis {
-        if self.is_watch() { self.wait + ANSWER_GRACE_MS } else { LIST_TIMEOUT_MS }
+        if self.is_watch() { self.wait + ANSWER_GRACE_MS + self.latency } else { OVERDUE_MS }
     }
 
     /// Whether the latest request is a watch, which discovery may hold.
@@ -125,11 +145,22 @@
         self.wait > 0.0
     }
 
-    /// Records that the pending request has failed. The next request asks for changes without a wait, which
-    /// shows at once whether there is a service. Returns whether the failure broke a subscription that had
-    /// been going on.
+    /// The latest request as a call that is sent now.
+    pub fn sent_call(&self, now: Millis) -> SentCall {
+        SentCall { sent_at: now, wait: self.wait }
+    }
+
+    /// Records when a call was answered. Watches after a slow answer allow for the service's latency.
+    pub fn record_answer_time(&mut self, call: SentCall, answered_at: Millis) {
+        if let Some(latency) = call.latency(answered_at) {
+            self.latency = latency.min(MAX_LATENCY_MS);
+        }
+    }
+
+    /// Records that the pending request has failed or is overdue. The next request asks for changes without a
+    /// wait, which shows at once whether there is a service. Returns whether the failure broke a subscription
+    /// that had been going on.
     pub fn poll_failed(&mut self) -> bool {
-        self.pending_request = None;
         !std::mem::replace(&mut self.unconfirmed, self.revision.is_some()) && self.revision.is_some()
     }
 
@@ -144,9 +175,12 @@
         }
     }
 
-    /// Draws for how long discovery may hold the next watch, in whole ms.
+    /// Draws for how long discovery may hold the next watch, in whole ms. A slow service gets less time, so
+    /// that a silent watch is noticed as soon as that of a prompt service.
     fn draw_wait(&mut self) -> Millis {
-        (MIN_WAIT_MS + (MAX_WAIT_MS - MIN_WAIT_MS) * self.draw()).round()
+        let drawn = MIN_WAIT_MS + (MAX_WAIT_MS - MIN_WAIT_MS) * self.draw();
+        let longest = (MAX_WAIT_MS - self.latency).max(MIN_WAIT_AFTER_SLOW_ANSWER_MS);
+        drawn.min(longest).round()
     }
 
     fn draw(&mut self) -> f64 {
@@ -229,3 +263,6 @@
         entry
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/takeover/successor.rs
+++ b/src/net/takeover/successor.rs
@@ -182,7 +182,7 @@
         Some(revision) => {
             let answer = DiscoveryAnswer { revision, requested_at: now, is_full: true };
             relay.apply_discovery_answer(now, answer, entries);
-            relay.discovery_answered(now);
+            relay.discovery_answered(now, now);
         }
         None => relay.apply_list(now, ListKind::Full, entries),
     });
--- a/src/relay/list_lease.rs
+++ b/src/relay/list_lease.rs
@@ -1,10 +1,14 @@
 //! Applies the list lease: once the lease has ended, the load balancer starts no attempt. A process that has
-//! just started has no lease, and is not ready for clients before its first poll has ended.
+//! just started has no lease, and is not ready for clients before it has one its first poll has failed.
+//!
+//! Only an answer of discovery and a call that can't reach discovery renew the lease. A call that is rejected
+//! by an overloaded service, or that has no answer yet, does not, except for the first call: discovery may have
+//! changed the list.
 //!
 //! The lease does not bind where relays may send each other messages, since they learn of departures by
 //! gossip (`drain_exchange`), nor where lists are pushed, since the agent's list counts as known.
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use sandgw_cluster::list_lease::{LIST_LEASE_MS, ListLease};
 
 use super::Relay;
@@ -19,8 +23,6 @@
     lease: ListLease,
     /// Whether a driver reports how polls end. Without such reports the list may always be used.
     is_tracked: bool,
-    /// Whether the first poll since the start has ended, whether or not it was answered.
-    first_poll_ended: bool,
     /// Whether the latest log line about the lease says that it has ended.
     is_end_logged: bool,
 }
@@ -38,37 +40,39 @@
         self.apply_list_lease(now);
     }
 
-    /// Records that discovery has answered, or that the predecessor process has handed over a list that
-    /// discovery had answered with.
-    pub fn discovery_answered(&mut self, now: Millis) {
-        self.renew_list_lease(now);
+    /// Records that discovery has answered with the list as of `confirmed_at`.
+    pub fn discovery_answered(&mut self, now: Millis, confirmed_at: Millis) {
+        self.renew_list_lease(now, confirmed_at);
     }
 
-    /// Records that a poll found that discovery can't be reached: the relay goes on serving by the list that
-    /// it has.
-    pub fn discovery_unreachable(&mut self, now: Millis) {
+    /// Records that a call sent at `called_at` found that discovery can't be reached: the relay goes on
+    /// serving by the list that it has.
+    pub fn discovery_unreachable(&mut self, now: Millis, called_at: Millis) {
         if self.is_bound_by_lease() {
             info!("discovery: unreachable, so the list stays valid for {LIST_LEASE_MS:.0} ms more");
         }
-        self.renew_list_lease(now);
+        self.renew_list_lease(now, called_at);
     }
 
-    /// Records that a poll has failed, though discovery could be reached. If this was the first poll, the
-    /// relay serves by the list with which it was started rather than not at all.
+    /// Records that a poll has failed, though discovery may be reachable and may have changed the list. The
+    /// lease stays as it is. If this was the first poll, the relay serves by the list with which it was started
+    /// rather than not at all.
     pub fn discovery_poll_failed(&mut self, now: Millis) {
-        if !self.list_lease.first_poll_ended {
-            self.renew_list_lease(now);
+        if self.list_lease.lease.expires_at().is_none() {
+            return self.renew_list_lease(now, now);
+        }
+        if let Some(end) = self.list_lease.lease.expires_at().filter(|_| self.is_bound_by_lease()) {
+            debug!("discovery: the list stays valid for {:.0} ms", (end - now).max(0.0));
         }
     }
 
-    /// Whether the relay waits for the end of its first poll before it accepts clients.
-    pub(super) fn awaits_first_poll(&self) -> bool {
-        !self.list_lease.first_poll_ended && self.is_bound_by_lease()
+    /// Whether the relay waits for its first lease before it accepts clients.
+    pub(super) fn awaits_first_lease(&self) -> bool {
+        self.list_lease.lease.expires_at().is_none() && self.is_bound_by_lease()
     }
 
-    fn renew_list_lease(&mut self, now: Millis) {
-        self.list_lease.first_poll_ended = true;
-        self.list_lease.lease.renew(now);
+    fn renew_list_lease(&mut self, now: Millis, confirmed_at: Millis) {
+        self.list_lease.lease.renew(confirmed_at);
         self.apply_list_lease(now);
     }
 
@@ -88,7 +92,7 @@
     }
 
     /// Logs that the lease has ended, or that it is valid again. A process that has just started has no lease
-    /// until its first poll has ended.
+    /// yet.
     pub(super) fn log_list_lease(&mut self, now: Millis) {
         let Some(end) = self.list_lease.lease.expires_at().filter(|_| self.is_bound_by_lease()) else {
             return;
--- a/src/relay/list_lease/tests.rs
+++ b/src/relay/list_lease/tests.rs
@@ -31,12 +31,12 @@
 fn a_list_is_used_for_six_seconds_after_each_answer() {
     let mut relay = started_relay(false);
     assert!(!places_request(&mut relay, START), "the cached list is of unknown age");
-    relay.discovery_answered(START + 50.0);
+    relay.discovery_answered(START + 50.0, START + 50.0);
     assert!(places_request(&mut relay, START + 6050.0));
     assert!(!places_request(&mut relay, START + 6051.0));
     relay.discovery_poll_failed(START + 6100.0);
     assert!(!places_request(&mut relay, START + 6101.0), "an overloaded service may have changes");
-    relay.discovery_unreachable(START + 7000.0);
+    relay.discovery_unreachable(START + 7000.0, START + 7000.0);
     assert!(
         places_request(&mut relay, START + 13_000.0),
         "changes that no relay can request count as known later"
@@ -46,8 +46,9 @@
 
 #[test]
 fn a_relay_is_ready_after_its_first_poll_is_answered_or_fails() {
-    for poll_ended in [Relay::discovery_answered, Relay::discovery_unreachable, Relay::discovery_poll_failed]
-    {
+    let answered: fn(&mut Relay, Millis) = |relay, now| relay.discovery_answered(now, now);
+    let unreachable: fn(&mut Relay, Millis) = |relay, now| relay.discovery_unreachable(now, now);
+    for poll_ended in [answered, unreachable, Relay::discovery_poll_failed] {
         let mut relay = started_relay(false);
         assert_eq!(relay.serving_mode(), ServingMode::Starting);
         poll_ended(&mut relay, START + 50.0);
@@ -56,6 +57,17 @@
     }
 }
 
+/// Guards against a lease that begins when a late answer arrives: the answer may be as old as its request.
+#[test]
+fn a_late_answer_confirms_the_list_as_of_its_request_at_the_earliest() {
+    let mut relay = started_relay(false);
+    relay.discovery_answered(START + 5000.0, START);
+    assert!(places_request(&mut relay, START + 6000.0));
+    relay.discovery_answered(START + 5900.0, START - 1000.0);
+    assert!(places_request(&mut relay, START + 6000.0), "an older confirmation does not end the lease");
+    assert!(!places_request(&mut relay, START + 6001.0));
+}
+
 #[test]
 fn the_list_is_used_without_answers_where_relays_gossip_about_departures() {
     let mut relay = started_relay(true);
--- a/src/relay/standby.rs
+++ b/src/relay/standby.rs
@@ -20,7 +20,7 @@
     /// The process accepts requests.
     #[default]
     Active,
-    /// The first poll of discovery has not ended: health checks say that the process is not ready.
+    /// The process waits for its first list lease: health checks say that the process is not ready.
     Starting,
     /// Health checks say that the process wants no new clients.
     Standby,
@@ -52,7 +52,7 @@
     pub fn serving_mode(&self) -> ServingMode {
         if self.standby.since.is_some() {
             ServingMode::Standby
-        } else if self.awaits_first_poll() {
+        } else if self.awaits_first_lease() {
             ServingMode::Starting
         } else {
             ServingMode::Active
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,28 @@
     /// The JSON entry of each endpoint, and the revision that last changed it.
     entries: BTreeMap<String, (String, u64)>,
     down: bool,
+    latency: Latency,
+    calls: CallCounts,
+}
+
+/// How long a stub of discovery takes to answer. A call that waits for a change is delayed before the wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Latency {
+    /// The delay of calls that do not wait for a change.
+    pub calls: Duration,
+    /// The delay of calls that wait for a change.
+    pub watches: Duration,
+}
+
+/// Calls to a stub of discovery.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallCounts {
+    /// Calls so far that do not wait for a change.
+    pub immediate: usize,
+    /// Calls that are open.
+    pub open: usize,
+    /// The largest number of calls that were open at the same time.
+    pub max_open: usize,
 }
 
 /// A stub of discovery that serves the full list, and subscriptions to its changes.
@@ -84,6 +106,15 @@
         self.list.0.lock().unwrap().down = down;
     }
 
+    /// Delays the calls that arrive from now on.
+    pub fn set_latency(&self, latency: Latency) {
+        self.list.0.lock().unwrap().latency = latency;
+    }
+
+    pub fn calls(&self) -> CallCounts {
+        self.list.0.lock().unwrap().calls
+    }
+
     pub fn revision(&self) -> u64 {
         self.list.0.lock().unwrap().revision
     }
@@ -106,6 +137,14 @@
         };
         let (after, wait) = (number("after="), number("wait_ms="));
         let (list, changed) = &*self.list;
+        let answer_from = Instant::now() + self.begin_call(wait > 0);
+        while Instant::now() < answer_from {
+            if has_closed(&stream) {
+                list.lock().unwrap().calls.open -= 1;
+                return;
+            }
+            thread::sleep(CLOSE_CHECK_INTERVAL.min(answer_from - Instant::now()));
+        }
         let is_unchanged = |l: &mut EndpointList| l.revision <= after && !l.down;
         drop(
             changed
@@ -115,7 +154,34 @@
         let body = self.json(after);
         let status = if list.lock().unwrap().down { "503 Service Unavailable" } else { "200 OK" };
         let _ = write!(stream, "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        list.lock().unwrap().calls.open -= 1;
     }
+
+    /// Counts a call. Returns how long its answer is delayed.
+    fn begin_call(&self, waits_for_change: bool) -> Duration {
+        let mut list = self.list.0.lock().unwrap();
+        list.calls.open += 1;
+        list.calls.max_open = list.calls.max_open.max(list.calls.open);
+        if waits_for_change {
+            return list.latency.watches;
+        }
+        list.calls.immediate += 1;
+        list.latency.calls
+    }
+}
+
+/// How often a stub of discovery checks whether the caller has given up a call that is delayed.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Whether the other side has closed the connection.
+fn has_closed(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let closed = match stream.peek(&mut [0; 1]) {
+        Ok(read) => read == 0,
+        Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+    };
+    stream.set_nonblocking(false).unwrap();
+    closed
 }
 
 /// The lines and events that a stub has received, each with its time.
--- /dev/null
+++ b/tests/slow_discovery.rs
@@ -0,0 +1,137 @@
+//! Tests of a discovery service that answers late, with real processes: relays stop sending to an endpoint
+//! that drains although the answer is late or has not come, and they go on serving where they may.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::*;
+
+/// A change counts as known this long after discovery had it.
+const KNOWN_WITHIN: Duration = Duration::from_secs(6);
+/// Added to the limit, for the grace of drains and the delays of a busy machine.
+const SLACK: Duration = Duration::from_millis(2500);
+/// After this time no watch is open that began before answers were late.
+const LONGEST_WATCH: Duration = Duration::from_secs(3);
+/// How long clients connect after the change.
+const OBSERVED: Duration = Duration::from_secs(14);
+/// Pause between two rounds of clients.
+const CLIENT_INTERVAL: Duration = Duration::from_millis(50);
+/// The largest number of calls that a relay may have open: one that is late, and another one.
+const MAX_OPEN_CALLS: usize = 2;
+
+/// A cluster whose discovery service answers late.
+#[derive(Clone, Copy, Debug)]
+struct SlowCase {
+    relays: usize,
+    peer_messages: bool,
+    latency: Latency,
+    /// Whether answers are late from the start of the relays on, and not only later.
+    from_start: bool,
+}
+
+impl SlowCase {
+    /// A service that delays calls that begin a subscription, and answers the watches after them at once.
+    fn late_calls(relays: usize, delay_ms: u64) -> SlowCase {
+        let latency = Latency { calls: Duration::from_millis(delay_ms), watches: Duration::ZERO };
+        SlowCase { relays, peer_messages: false, latency, from_start: true }
+    }
+
+    /// A service that delays all calls, from some time after the start of the relays on.
+    fn late_later(relays: usize, delay_ms: u64) -> SlowCase {
+        let delay = Duration::from_millis(delay_ms);
+        let latency = Latency { calls: delay, watches: delay };
+        SlowCase { relays, peer_messages: false, latency, from_start: false }
+    }
+
+    fn with_peer_messages(self) -> SlowCase {
+        SlowCase { peer_messages: true, ..self }
+    }
+
+    /// Lets an endpoint drain while answers are late. Checks that nothing is sent to that endpoint once the
+    /// change counts as known, and that calls do not accumulate. Returns how many clients were served.
+    fn check(self) -> usize {
+        let list = Discovery::start();
+        let endpoints = ["UP 1\r\n", "UP 2\r\n"].map(Endpoint::lines);
+        for (i, endpoint) in endpoints.iter().enumerate() {
+            list.set(&format!("s-{i}"), &endpoint.address, "Ready", 0);
+        }
+        if self.from_start {
+            list.set_latency(self.latency);
+        }
+        let relays = self.start_relays(&list);
+        for relay in &relays {
+            until("the relay is ready", || relay.client().send("PING\r\n").line() == "PONG");
+        }
+        if !self.from_start {
+            list.set_latency(self.latency);
+            std::thread::sleep(LONGEST_WATCH);
+        }
+        let drained_at = list.set("s-0", &endpoints[0].address, "Terminating", 0);
+        let mut served = 0;
+        while drained_at.elapsed() < OBSERVED {
+            served += relays.iter().filter(|relay| relay.client().open("").line().starts_with("UP")).count();
+            std::thread::sleep(CLIENT_INTERVAL);
+        }
+        let limit = drained_at + KNOWN_WITHIN + SLACK;
+        let is_late = |entry: &&(Instant, String)| entry.0 > limit && entry.1.starts_with("OPEN");
+        let late = endpoints[0].log.lock().unwrap().iter().filter(is_late).count();
+        assert_eq!(late, 0, "requests were sent to the draining endpoint, {self:?}: {}", relays[0].log());
+        let calls = list.calls();
+        assert!(calls.max_open <= MAX_OPEN_CALLS * self.relays, "{self:?}: {calls:?}");
+        served
+    }
+
+    fn start_relays(self, list: &Discovery) -> Vec<Relay> {
+        let hosts: Vec<_> = (0..self.relays).map(|_| host()).collect();
+        let start = |local_index| {
+            let settings = self.settings(local_index);
+            Relay::start_more(list, 256, &hosts, local_index, &settings)
+        };
+        (0..self.relays).map(start).collect()
+    }
+
+    fn settings(self, local_index: usize) -> String {
+        let SlowCase { relays, peer_messages, .. } = self;
+        let relay_count = relays.max(2);
+        format!(
+            r#"
+[settings]
+discovery = "on_request"
+nInstances = {relay_count}
+me = {local_index}
+resolutionMs = 2.0
+realms = [{{ name = "acme" }}]
+lanes = [{{ name = "subtitle-stream", semantics = "safe", aimMs = 500.0, hardLimitMs = 3000.0, worth = 1.0 }}]
+limits = {{ maxAttempts = 5, connectTimeoutMs = 200.0, peerMessages = {peer_messages} }}
+rules = {{ askEveryMs = 10000.0, coldFrom = 0.31, warmWithinMs = 8600.0, tipMultiple = 3.0 }}
+domain = {{ mode = "pass", groups = true, messageAimMs = [150.0] }}
+"#
+        )
+    }
+}
+
+/// Guards against relays that give up each late answer, take it for an outage, and go on sending to draining
+/// endpoints.
+#[test]
+fn an_answer_that_is_late_for_a_relay_still_stops_sends_to_a_draining_endpoint() {
+    assert!(SlowCase::late_calls(4, 2800).check() > 0, "nobody was served");
+}
+
+/// Guards against the same where relays may send each other messages.
+#[test]
+fn an_answer_that_is_late_for_relays_with_messages_still_stops_sends_to_a_draining_endpoint() {
+    assert!(SlowCase::late_calls(4, 2800).with_peer_messages().check() > 0, "nobody was served");
+}
+
+/// Guards against watches that a slow service never answers within their time.
+#[test]
+fn a_service_that_becomes_slow_still_stops_sends_to_a_draining_endpoint() {
+    assert!(SlowCase::late_later(2, 2800).check() > 0, "nobody was served");
+}
+
+/// Guards against a list that is used on and on because no answer comes.
+#[test]
+fn a_service_that_becomes_slower_than_the_lease_stops_sends_to_a_draining_endpoint() {
+    SlowCase::late_later(2, 8000).check();
+}
