--- a/src/relay/list_lease.rs
+++ b/src/relay/list_lease.rs
@@ -1,9 +1,8 @@
 //! Applies the list lease: once the lease has ended, the load balancer starts no attempt. A process that has
-//! just started has no lease, and is not ready for clients before it has one its first poll has failed.
+//! just started has no lease, and is not ready for clients before it has one or its time to start is over.
 //!
 //! Only an answer of discovery and a call that can't reach discovery renew the lease. A call that is rejected
-//! by an overloaded service, or that has no answer yet, does not, except for the first call: discovery may have
-//! changed the list.
+//! by an overloaded service, or that has no answer yet, does not: discovery may have changed the list.
 //!
 //! The lease does not bind where relays may send each other messages, since they learn of departures by
 //! gossip (`drain_exchange`), nor where lists are pushed, since the agent's list counts as known.
@@ -12,17 +11,23 @@
 use sandgw_cluster::list_lease::{LIST_LEASE_MS, ListLease};
 
 use super::Relay;
+use super::timers::CoreTimer;
 use crate::policy::api::{Discovery, Event, Millis, Settings};
 
 #[cfg(test)]
 mod tests;
 
+/// How long a process that starts waits for its first lease before it accepts clients. The platform wants
+/// it ready within 6 s.
+const MAX_START_MS: Millis = 5000.0;
 /// The list lease, and what the core has done about it.
 #[derive(Default)]
 pub(super) struct ListLeaseState {
     lease: ListLease,
     /// Whether a driver reports how polls end. Without such reports the list may always be used.
     is_tracked: bool,
+    /// Whether the relay accepts clients even if it has never had a lease.
+    is_start_over: bool,
     /// Whether the latest log line about the lease says that it has ended.
     is_end_logged: bool,
 }
@@ -37,6 +42,7 @@
     /// age.
     pub fn track_list_lease(&mut self, now: Millis) {
         self.list_lease.is_tracked = true;
+        self.set_timer(MAX_START_MS, CoreTimer::EndOfStart);
         self.apply_list_lease(now);
     }
 
@@ -55,12 +61,8 @@
     }
 
     /// Records that a poll has failed, though discovery may be reachable and may have changed the list. The
-    /// lease stays as it is. If this was the first poll, the relay serves by the list with which it was started
-    /// rather than not at all.
+    /// lease stays as it is.
     pub fn discovery_poll_failed(&mut self, now: Millis) {
-        if self.list_lease.lease.expires_at().is_none() {
-            return self.renew_list_lease(now, now);
-        }
         if let Some(end) = self.list_lease.lease.expires_at().filter(|_| self.is_bound_by_lease()) {
             debug!("discovery: the list stays valid for {:.0} ms", (end - now).max(0.0));
         }
@@ -68,7 +70,14 @@
 
     /// Whether the relay waits for its first lease before it accepts clients.
     pub(super) fn awaits_first_lease(&self) -> bool {
-        self.list_lease.lease.expires_at().is_none() && self.is_bound_by_lease()
+        let lease = &self.list_lease;
+        !lease.is_start_over && lease.lease.expires_at().is_none() && self.is_bound_by_lease()
+    }
+
+    /// Ends the wait for the first lease. The relay then answers clients, though it places none of them
+    /// without a lease.
+    pub(super) fn end_start(&mut self) {
+        self.list_lease.is_start_over = true;
     }
 
     fn renew_list_lease(&mut self, now: Millis, confirmed_at: Millis) {
--- a/src/relay/list_lease/tests.rs
+++ b/src/relay/list_lease/tests.rs
@@ -1,16 +1,31 @@
 //! Tests when the lease keeps a relay from placing connections, and when a relay is ready for clients.
 
 use super::super::commands::{Command, ConnectionCommand};
+use super::super::timers::CoreTimer;
 use super::super::{IncomingRequest, Relay, ServingMode};
+use super::MAX_START_MS;
 use crate::policy::api::*;
 use crate::tests::{START, ready, settings};
 
-/// A relay that has loaded its cached list. `peer_messages` says whether relays may send each other messages.
-fn started_relay(peer_messages: bool) -> Relay {
-    let settings = Settings { peer_messages, discovery: Discovery::OnRequest, ..settings() };
+fn without_messages() -> Settings {
+    Settings { peer_messages: false, discovery: Discovery::OnRequest, ..settings() }
+}
+
+fn with_messages() -> Settings {
+    Settings { peer_messages: true, ..without_messages() }
+}
+
+/// A relay that has just loaded its cached list.
+fn starting(settings: Settings) -> Relay {
     let mut relay = Relay::new(settings, vec!["safe".into()], 7, START);
     relay.load_cached_list(START, Some(1), ready(2));
     relay.track_list_lease(START);
+    relay
+}
+
+/// Like [`starting`], with the commands of the start taken.
+fn started(settings: Settings) -> Relay {
+    let mut relay = starting(settings);
     relay.take_commands();
     relay
 }
@@ -29,7 +44,7 @@
 /// Guards against connections that are placed by an old list although changes to it already count as known.
 #[test]
 fn a_list_is_used_for_six_seconds_after_each_answer() {
-    let mut relay = started_relay(false);
+    let mut relay = started(without_messages());
     assert!(!places_request(&mut relay, START), "the cached list is of unknown age");
     relay.discovery_answered(START + 50.0, START + 50.0);
     assert!(places_request(&mut relay, START + 6050.0));
@@ -44,23 +59,42 @@
     assert!(!places_request(&mut relay, START + 13_001.0));
 }
 
+/// Lets the time of a start pass.
+fn end_start(relay: &mut Relay) {
+    let is_end_of_start = |command: &Command| matches!(command, Command::SetTimer { token, .. } if *token == CoreTimer::EndOfStart.token());
+    assert!(relay.take_commands().iter().any(is_end_of_start));
+    relay.timer_fired(START + MAX_START_MS, CoreTimer::EndOfStart.token());
+}
+
 #[test]
-fn a_relay_is_ready_after_its_first_poll_is_answered_or_fails() {
-    let answered: fn(&mut Relay, Millis) = |relay, now| relay.discovery_answered(now, now);
-    let unreachable: fn(&mut Relay, Millis) = |relay, now| relay.discovery_unreachable(now, now);
-    for poll_ended in [answered, unreachable, Relay::discovery_poll_failed] {
-        let mut relay = started_relay(false);
+fn a_relay_is_ready_after_its_first_poll_is_answered_or_finds_discovery_down() {
+    for poll_ended in [Relay::discovery_answered, Relay::discovery_unreachable] {
+        let mut relay = started(without_messages());
         assert_eq!(relay.serving_mode(), ServingMode::Starting);
-        poll_ended(&mut relay, START + 50.0);
+        poll_ended(&mut relay, START + 50.0, START + 40.0);
         assert_eq!(relay.serving_mode(), ServingMode::Active);
         assert!(places_request(&mut relay, START + 60.0));
     }
 }
 
+/// Guards against sends by the list of the last run after an overloaded discovery service has turned the
+/// first poll away.
+#[test]
+fn a_first_poll_that_is_turned_away_confirms_no_list() {
+    let mut relay = starting(without_messages());
+    relay.discovery_poll_failed(START + 50.0);
+    assert_eq!(relay.serving_mode(), ServingMode::Starting);
+    end_start(&mut relay);
+    assert_eq!(relay.serving_mode(), ServingMode::Active, "a process has to be ready in time");
+    assert!(!places_request(&mut relay, START + 5060.0));
+    relay.discovery_answered(START + 7000.0, START + 6990.0);
+    assert!(places_request(&mut relay, START + 7010.0));
+}
+
 /// Guards against a lease that begins when a late answer arrives: the answer may be as old as its request.
 #[test]
 fn a_late_answer_confirms_the_list_as_of_its_request_at_the_earliest() {
-    let mut relay = started_relay(false);
+    let mut relay = started(without_messages());
     relay.discovery_answered(START + 5000.0, START);
     assert!(places_request(&mut relay, START + 6000.0));
     relay.discovery_answered(START + 5900.0, START - 1000.0);
@@ -70,7 +104,7 @@
 
 #[test]
 fn the_list_is_used_without_answers_where_relays_gossip_about_departures() {
-    let mut relay = started_relay(true);
+    let mut relay = started(with_messages());
     assert_eq!(relay.serving_mode(), ServingMode::Active);
     assert!(places_request(&mut relay, START) && places_request(&mut relay, START + 60_000.0));
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -140,6 +140,7 @@
             Some(CoreTimer::UsageReport) => self.send_due_usage_reports(now),
             Some(CoreTimer::QuotaGrant) => self.advance_quota_grants(now),
             Some(CoreTimer::DrainQuery) => self.send_drain_query(now),
+            Some(CoreTimer::EndOfStart) => self.end_start(),
             None => {
                 self.events.push_back(Event::Timer(token));
                 self.handle_queued_events(now);
--- a/src/relay/timers.rs
+++ b/src/relay/timers.rs
@@ -13,11 +13,18 @@
     QuotaGrant,
     /// Next query to another relay about draining endpoints.
     DrainQuery,
+    /// End of the time for which a process that starts waits for its first list lease.
+    EndOfStart,
 }
 
 impl CoreTimer {
-    const ALL: [CoreTimer; 4] =
-        [CoreTimer::MigrationStep, CoreTimer::UsageReport, CoreTimer::QuotaGrant, CoreTimer::DrainQuery];
+    const ALL: [CoreTimer; 5] = [
+        CoreTimer::MigrationStep,
+        CoreTimer::UsageReport,
+        CoreTimer::QuotaGrant,
+        CoreTimer::DrainQuery,
+        CoreTimer::EndOfStart,
+    ];
 
     /// The token of this timer.
     pub(super) fn token(self) -> u64 {
