--- a/crates/cluster/src/list_lease.rs
+++ b/crates/cluster/src/list_lease.rs
@@ -36,6 +36,11 @@
         self.expires_at = Some(self.expires_at.map_or(expires_at, |end| end.max(expires_at)));
     }
 
+    /// Lets the lease expire at `end` at the latest.
+    pub fn end_by(&mut self, end: Millis) {
+        self.expires_at = self.expires_at.map(|expires_at| expires_at.min(end));
+    }
+
     /// When the lease expires or expired; `None` if it was never renewed.
     pub fn expires_at(&self) -> Option<Millis> {
         self.expires_at
--- a/src/relay/drain_exchange.rs
+++ b/src/relay/drain_exchange.rs
@@ -30,6 +30,7 @@
     pub fn discovery_changed(&mut self, now: Millis) {
         self.drain_gossip.discovery_replaced(now, self.gossip_cluster());
         self.send_drain_gossip(now, Outbox::new());
+        self.limit_list_lease(now);
     }
 
     /// The subscription was lost and the list is requested anew: changes are unknown until that request is
--- a/src/relay/list_lease.rs
+++ b/src/relay/list_lease.rs
@@ -20,6 +20,10 @@
 /// How long a process that starts waits for its first lease before it accepts clients. The platform wants
 /// it ready within 6 s.
 const MAX_START_MS: Millis = 5000.0;
+/// How long the list stays in use after the address of discovery has changed: then the changes of the
+/// service at the new address count as known.
+const NEW_SERVICE_LEASE_MS: Millis = 4000.0;
+
 /// The list lease, and what the core has done about it.
 #[derive(Default)]
 pub(super) struct ListLeaseState {
@@ -68,6 +72,13 @@
         }
     }
 
+    /// Shortens the lease, since another discovery service is called from now on: what that service has
+    /// changed already counts as known soon.
+    pub(super) fn limit_list_lease(&mut self, now: Millis) {
+        self.list_lease.lease.end_by(now + NEW_SERVICE_LEASE_MS);
+        self.apply_list_lease(now);
+    }
+
     /// Whether the relay waits for its first lease before it accepts clients.
     pub(super) fn awaits_first_lease(&self) -> bool {
         let lease = &self.list_lease;
--- a/src/relay/list_lease/tests.rs
+++ b/src/relay/list_lease/tests.rs
@@ -91,6 +91,16 @@
     assert!(places_request(&mut relay, START + 7010.0));
 }
 
+/// Guards against sends by the list of the old service after the changes of the new one count as known.
+#[test]
+fn a_new_address_of_discovery_shortens_the_lease() {
+    let mut relay = started(without_messages());
+    relay.discovery_answered(START + 50.0, START + 50.0);
+    relay.discovery_changed(START + 1000.0);
+    assert!(places_request(&mut relay, START + 5000.0));
+    assert!(!places_request(&mut relay, START + 5001.0));
+}
+
 /// Guards against a lease that begins when a late answer arrives: the answer may be as old as its request.
 #[test]
 fn a_late_answer_confirms_the_list_as_of_its_request_at_the_earliest() {
