--- a/src/net/takeover/successor.rs
+++ b/src/net/takeover/successor.rs
@@ -181,8 +181,8 @@
     shared.with_core(|relay, now| match revision {
         Some(revision) => {
             let answer = DiscoveryAnswer { revision, requested_at: now, is_full: true };
+            // When discovery confirmed the list is unknown, so the list has no lease before the first answer.
             relay.apply_discovery_answer(now, answer, entries);
-            relay.discovery_answered(now, now);
         }
         None => relay.apply_list(now, ListKind::Full, entries),
     });
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -135,3 +135,31 @@
 fn a_service_that_becomes_slower_than_the_lease_stops_sends_to_a_draining_endpoint() {
     SlowCase::late_later(2, 8000).check();
 }
+
+/// Guards against a successor process that takes the list of its predecessor, which no answer has confirmed
+/// for long, for a confirmed one.
+#[test]
+fn a_hand_over_confirms_no_list() {
+    let list = Discovery::start();
+    let endpoints = ["UP 1\r\n", "UP 2\r\n"].map(Endpoint::lines);
+    for (i, endpoint) in endpoints.iter().enumerate() {
+        list.set(&format!("s-{i}"), &endpoint.address, "Ready", 0);
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let case = SlowCase::late_later(1, 60_000);
+    let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), case.settings(0));
+    let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
+    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    list.set_latency(case.latency);
+    std::thread::sleep(LONGEST_WATCH);
+    list.set("s-0", &endpoints[0].address, "Terminating", 0);
+    std::thread::sleep(KNOWN_WITHIN + SLACK);
+    let attempts = || endpoints[0].seen().iter().filter(|line| line.starts_with("OPEN")).count();
+    let before = attempts();
+    let successor = relay.beside();
+    for _ in 0..10 {
+        let answer = successor.client().open("").line();
+        assert!(!answer.starts_with("UP"), "{answer}: {}", successor.log());
+    }
+    assert_eq!(attempts(), before, "a request was sent to the draining endpoint");
+}
