--- a/src/relay/list_lease.rs
+++ b/src/relay/list_lease.rs
@@ -4,10 +4,11 @@
 //! Only an answer of discovery and a call that can't reach discovery renew the lease. A call that is rejected
 //! by an overloaded service, or that has no answer yet, does not: discovery may have changed the list.
 //!
-//! The lease does not bind where relays may send each other messages, since they learn of departures by
-//! gossip (`drain_exchange`), nor where lists are pushed, since the agent's list counts as known.
+//! The lease does not bind in large clusters whose relays may send each other messages, since they learn of
+//! departures by gossip (`drain_exchange`), nor where lists are pushed, since the agent's list counts as known.
 
 use log::{debug, info, warn};
+use sandgw_cluster::ClusterPosition;
 use sandgw_cluster::list_lease::{LIST_LEASE_MS, ListLease};
 
 use super::Relay;
@@ -36,9 +37,12 @@
     is_end_logged: bool,
 }
 
-/// Whether a relay learns only from discovery's answers which endpoints have left.
+/// Whether a relay learns only from discovery's answers which endpoints have left. The relays of a large
+/// cluster that may send each other messages learn of it by gossip too.
 fn depends_on_answers(settings: &Settings) -> bool {
-    settings.discovery == Discovery::OnRequest && !settings.peer_messages
+    let position = ClusterPosition { local_index: settings.local_index, relay_count: settings.relay_count };
+    let gossips = settings.peer_messages && position.is_large();
+    settings.discovery == Discovery::OnRequest && !gossips
 }
 
 impl Relay {
--- a/src/relay/list_lease/tests.rs
+++ b/src/relay/list_lease/tests.rs
@@ -7,6 +7,9 @@
 use crate::policy::api::*;
 use crate::tests::{START, ready, settings};
 
+/// The number of relays from which on a cluster gossips about departures.
+const SMALLEST_LARGE_CLUSTER: u32 = 9;
+
 fn without_messages() -> Settings {
     Settings { peer_messages: false, discovery: Discovery::OnRequest, ..settings() }
 }
@@ -114,7 +117,21 @@
 
 #[test]
 fn the_list_is_used_without_answers_where_relays_gossip_about_departures() {
-    let mut relay = started(with_messages());
+    let mut relay = started(Settings { relay_count: SMALLEST_LARGE_CLUSTER, ..with_messages() });
     assert_eq!(relay.serving_mode(), ServingMode::Active);
     assert!(places_request(&mut relay, START) && places_request(&mut relay, START + 60_000.0));
 }
+
+/// Guards against a list that is used without answers in a small cluster, where no relay gossips about
+/// departures.
+#[test]
+fn a_small_cluster_with_messages_depends_on_answers_too() {
+    for relay_count in [1, 2, SMALLEST_LARGE_CLUSTER - 1] {
+        let mut relay = started(Settings { relay_count, ..with_messages() });
+        assert_eq!(relay.serving_mode(), ServingMode::Starting);
+        assert!(!places_request(&mut relay, START));
+        relay.discovery_answered(START + 50.0, START + 50.0);
+        assert!(places_request(&mut relay, START + 6050.0));
+        assert!(!places_request(&mut relay, START + 6051.0));
+    }
+}
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -136,6 +136,13 @@
     SlowCase::late_later(2, 8000).check();
 }
 
+/// Guards against the same in a small cluster whose relays may send each other messages: it has no gossip
+/// about draining endpoints.
+#[test]
+fn a_small_cluster_with_messages_stops_sends_by_a_list_that_no_answer_confirms() {
+    SlowCase::late_later(4, 8000).with_peer_messages().check();
+}
+
 /// Guards against a successor process that takes the list of its predecessor, which no answer has confirmed
 /// for long, for a confirmed one.
 #[test]
