--- a/crates/test-cluster/src/cluster.rs
+++ b/crates/test-cluster/src/cluster.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::fault_proxy::{DatagramMesh, DelayRange, LinkFaults};
-use crate::fault_schedule::{Fault, FaultSchedule};
+use crate::fault_schedule::{AnswerDelay, Fault, FaultSchedule};
 use crate::invariants::{Verdict, check_invariants};
 use crate::load_clients::{HealthChecker, LoadClients, LoadPlan};
 use crate::log::{EventKind, RelayIndex};
@@ -232,6 +232,8 @@
             Fault::DiscoveryUp => self.discovery.update(|service| service.down = false),
             Fault::DiscoveryMute => self.discovery.update(|service| service.unresponsive = true),
             Fault::DiscoveryAnswers => self.discovery.update(|service| service.unresponsive = false),
+            Fault::DiscoverySlow(delay) => self.discovery.set_answer_delay(*delay),
+            Fault::DiscoveryPrompt => self.discovery.set_answer_delay(AnswerDelay::NONE),
             Fault::SilenceWatches => self.discovery.silence_watches(),
             Fault::DrainEndpoint { endpoint, within_ms } => {
                 let id = self.endpoint_id(*endpoint);
--- a/crates/test-cluster/src/fault_schedule.rs
+++ b/crates/test-cluster/src/fault_schedule.rs
@@ -49,6 +49,10 @@
     DiscoveryMute,
     /// Discovery answers again.
     DiscoveryAnswers,
+    /// Discovery answers calls late.
+    DiscoverySlow(AnswerDelay),
+    /// Discovery answers calls at once.
+    DiscoveryPrompt,
     /// Watches that are open now are never answered.
     SilenceWatches,
     /// An endpoint takes nothing new and asks its clients to reconnect.
@@ -79,6 +83,20 @@
     CrowdLeaves,
 }
 
+/// How late discovery answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AnswerDelay {
+    /// By how much, in milliseconds.
+    pub delay_ms: Millis,
+    /// Whether watches that continue another are late too.
+    pub delays_continued_watches: bool,
+}
+
+impl AnswerDelay {
+    /// No delay.
+    pub const NONE: AnswerDelay = AnswerDelay { delay_ms: 0.0, delays_continued_watches: false };
+}
+
 impl Fault {
     /// Datagrams arrive once and at once.
     pub fn calm_datagrams() -> Fault {
--- a/crates/test-cluster/src/soak/mod.rs
+++ b/crates/test-cluster/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod episodes;
 mod report;
 mod scenario;
+mod slow_answers;
 
 use std::path::Path;
 
@@ -15,6 +16,7 @@
 
 pub use report::{SoakFault, SoakReport};
 pub use scenario::{ClassEffect, SoakScenario};
+pub use slow_answers::SlowAnswers;
 
 use crate::invariants::check_invariants;
 use crate::load_clients::LoadPlan;
--- a/crates/test-cluster/src/soak/scenario.rs
+++ b/crates/test-cluster/src/soak/scenario.rs
@@ -10,7 +10,8 @@
 use serde_json::{Value, json};
 
 use super::episodes;
-use crate::fault_schedule::FaultSchedule;
+use super::slow_answers::SlowAnswers;
+use crate::fault_schedule::{AnswerDelay, FaultSchedule};
 use crate::invariants::{Idempotency, RepeatScope};
 use crate::load_clients::{LoadPlan, Weighted};
 use crate::process::RelayConfig;
@@ -97,6 +98,8 @@
     pub peer_messages: bool,
     /// What a call costs discovery.
     pub discovery_call_cost_ms: Millis,
+    /// When discovery answers late, if it does.
+    pub slow_answers: Option<SlowAnswers>,
     /// The classes' effects, in the classes' order.
     pub class_effects: [ClassEffect; 2],
     /// How long the faults go on.
@@ -138,7 +141,11 @@
         };
         let arrivals_per_s = rng.random_range(ARRIVALS_PER_S);
         let capacity = rng.random_range(CAPACITY_FACTOR) / warm_endpoints as f64;
-        let schedule = episodes::draw(&mut rng, relays, warm_endpoints, peer_messages, duration_ms);
+        let mut schedule = episodes::draw(&mut rng, relays, warm_endpoints, peer_messages, duration_ms);
+        let slow_answers = SlowAnswers::draw(seed, duration_ms);
+        if let Some(slow) = &slow_answers {
+            slow.add_to(&mut schedule);
+        }
         SoakScenario {
             seed,
             relays,
@@ -151,6 +158,7 @@
             packet_passthrough: rng.random_bool(0.5),
             peer_messages,
             discovery_call_cost_ms: if rng.random_bool(0.3) { 40.0 } else { 0.0 },
+            slow_answers,
             class_effects,
             duration_ms,
             clients: (duration_ms / 1000.0 * arrivals_per_s) as usize,
@@ -165,8 +173,13 @@
         config.cold_endpoints = self.cold_endpoints;
         config.setups_per_s = self.setups_per_s;
         config.max_connections = self.max_connections;
-        config.discovery =
-            ServiceModel { call_cost_ms: self.discovery_call_cost_ms, ..ServiceModel::default() };
+        let delay = self.slow_answers.map_or(AnswerDelay::NONE, |slow| slow.delay_at_start());
+        config.discovery = ServiceModel {
+            call_cost_ms: self.discovery_call_cost_ms,
+            answer_delay_ms: delay.delay_ms,
+            delays_continued_watches: delay.delays_continued_watches,
+            ..ServiceModel::default()
+        };
         config.rules.grace_ms = GRACE_MS;
         config.rules.cold_capacity_fraction = self.cold_capacity_fraction;
         config.rules.overload_multiple = self.overload_multiple;
@@ -205,6 +218,15 @@
             self.warm_endpoints,
             self.cold_endpoints,
             self.schedule.steps.len()
-        )
+        )?;
+        match self.slow_answers {
+            Some(SlowAnswers { delay, begin_ms, end_ms }) => write!(
+                f,
+                ", answers {:.0} ms late from {:.0} to {end_ms:.0} ms",
+                delay.delay_ms,
+                begin_ms.unwrap_or(0.0)
+            ),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/test-cluster/src/stub_discovery/mod.rs
+++ b/crates/test-cluster/src/stub_discovery/mod.rs
@@ -19,6 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+use crate::fault_schedule::AnswerDelay;
 use crate::log::{EventKind, RelayIndex};
 use crate::network::{Listening, listen};
 use crate::{Log, Millis, TestClusterError, duration, lock};
@@ -77,6 +78,14 @@
         self.service.notify();
     }
 
+    /// Changes how late it answers the calls that come from now on.
+    pub fn set_answer_delay(&self, delay: AnswerDelay) {
+        self.update(|service| {
+            service.answer_delay_ms = delay.delay_ms;
+            service.delays_continued_watches = delay.delays_continued_watches;
+        });
+    }
+
     /// Watches that are open now are never answered; those that begin later are.
     pub fn silence_watches(&self) {
         lock(&self.service.state).silences += 1;
--- a/crates/test-cluster/src/stub_discovery/model.rs
+++ b/crates/test-cluster/src/stub_discovery/model.rs
@@ -14,6 +14,10 @@
     pub queue_timeout_ms: Millis,
     /// How old the list is that it answers.
     pub staleness_ms: Millis,
+    /// How much later it answers a call that begins, in milliseconds, however few calls there are.
+    pub answer_delay_ms: Millis,
+    /// Whether it delays watches too that continue another.
+    pub delays_continued_watches: bool,
     /// Whether it is down: connections are reset.
     pub down: bool,
     /// Whether it takes calls and never answers any.
@@ -29,6 +33,8 @@
             cost_per_queued_call_ms: 0.0,
             queue_timeout_ms: 2000.0,
             staleness_ms: 0.0,
+            answer_delay_ms: 0.0,
+            delays_continued_watches: false,
             down: false,
             unresponsive: false,
             body_style: BodyStyle::default(),
--- a/crates/test-cluster/src/stub_discovery/queue.rs
+++ b/crates/test-cluster/src/stub_discovery/queue.rs
@@ -110,7 +110,7 @@
         let continues = matches!(request, DiscoveryRequest::Watch { .. })
             && last_answer_ms.is_some_and(|answered_ms| now_ms - answered_ms <= CONTINUATION_WINDOW_MS);
         self.log.record(EventKind::DiscoveryCalled { relay, call, request, queued: !continues });
-        let turn = if continues { Turn::After(0.0) } else { state.enqueue(now_ms) };
+        let turn = if continues { state.continued_turn() } else { state.enqueue(now_ms) };
         QueuedCall { call, silences_before, turn }
     }
 
@@ -158,17 +158,24 @@
 }
 
 impl State {
+    /// When a watch that continues another has its turn.
+    fn continued_turn(&self) -> Turn {
+        let ServiceModel { answer_delay_ms, delays_continued_watches, .. } = self.model;
+        Turn::After(if delays_continued_watches { answer_delay_ms } else { 0.0 })
+    }
+
     /// Takes a call into the queue. It costs the same where it times out.
     fn enqueue(&mut self, now_ms: Millis) -> Turn {
         let wait_ms = (self.free_at_ms - now_ms).max(0.0);
-        let ServiceModel { call_cost_ms, cost_per_queued_call_ms, queue_timeout_ms, .. } = self.model;
+        let ServiceModel { call_cost_ms, cost_per_queued_call_ms, queue_timeout_ms, answer_delay_ms, .. } =
+            self.model;
         let queued_calls = if call_cost_ms > 0.0 { wait_ms / call_cost_ms } else { 0.0 };
         let cost_ms = call_cost_ms + cost_per_queued_call_ms * queued_calls;
         self.free_at_ms = now_ms + wait_ms + cost_ms;
         if wait_ms > queue_timeout_ms {
             Turn::TimesOutAfter(queue_timeout_ms)
         } else {
-            Turn::After(wait_ms + cost_ms)
+            Turn::After(wait_ms + cost_ms + answer_delay_ms)
         }
     }
 }
--- a/crates/test-cluster/tests/stubs.rs
+++ b/crates/test-cluster/tests/stubs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sandgw_test_cluster::fault_proxy::{DatagramMesh, DelayRange, LinkFaults, LinkMode, TcpLink};
+use sandgw_test_cluster::fault_schedule::AnswerDelay;
 use sandgw_test_cluster::log::{Event, EventKind};
 use sandgw_test_cluster::settings::RuleSettings;
 use sandgw_test_cluster::stub_discovery::{
@@ -225,3 +226,23 @@
     endpoints.restart("cold", false).await.unwrap();
     assert!(TcpStream::connect(cold).await.is_ok());
 }
+
+#[tokio::test]
+async fn a_slow_discovery_delays_calls_and_only_if_told_so_the_watches_that_continue_another() {
+    let log = Log::default();
+    let model = ServiceModel { answer_delay_ms: 300.0, ..ServiceModel::default() };
+    let discovery = StubDiscovery::start(1, model, &log).await.unwrap();
+    discovery.publish(entry("s-1", EndpointPhase::Ready));
+    let address = discovery.address(0);
+    let delayed = duration(300.0);
+    let time = async |query: &str| {
+        let start = std::time::Instant::now();
+        assert!(call(address, query).await.contains("s-1") || query.contains("after=1"));
+        start.elapsed()
+    };
+    assert!(time("").await >= delayed);
+    assert!(time("?after=0&wait_ms=0").await >= delayed, "a watch begins");
+    assert!(time("?after=0&wait_ms=1").await < delayed, "it continues");
+    discovery.set_answer_delay(AnswerDelay { delay_ms: 300.0, delays_continued_watches: true });
+    assert!(time("?after=0&wait_ms=1").await >= delayed);
+}
