--- a/src/discovery/call.rs
+++ b/src/discovery/call.rs
@@ -7,7 +7,7 @@
 use crate::policy::api::Millis;
 
 /// A call that is refused sooner than this was not queued by an overloaded service: discovery is down.
-const MIN_QUEUED_MS: Millis = 100.0;
+pub const MIN_QUEUED_MS: Millis = 100.0;
 
 /// A call as it was sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -15,7 +15,7 @@
 use serde_json::Value;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-pub use call::{FailedCall, Reachability, SentCall};
+pub use call::{FailedCall, MIN_QUEUED_MS, Reachability, SentCall};
 pub use errors::{CallError, ListError};
 
 use self::entry::ListedEndpoint;
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -9,6 +9,7 @@
 const MAX_DURATION: Duration = Duration::MAX.checked_div(4).unwrap();
 
 /// A clock of Unix time in milliseconds that never goes back, even if the system's clock is set.
+#[derive(Clone, Copy)]
 pub struct Clock {
     /// The Unix time in milliseconds at which the clock was created.
     unix_start: Millis,
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -5,6 +5,7 @@
 //! another. Each call uses a new connection.
 
 mod calls;
+mod reachability;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +15,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use self::calls::{CallEvent, OpenCall, OpenCalls, OverdueCall};
+use self::reachability::{CheckResult, ReachabilityCheck};
 use super::{Shared, duration_from_millis, is_local_shortage};
 use crate::discovery::{CallError, FailedCall, RETRY_MS, Reachability, SECOND_CALL_AFTER_MS, SentCall};
 use crate::help::Help;
@@ -52,6 +54,8 @@
     shared: Rc<Shared>,
     calls: OpenCalls,
     next_call: NextCall,
+    /// Pending while the latest call could not reach discovery and the next one is not due.
+    reachability_check: ReachabilityCheck,
     /// Whether the address of discovery has changed and discovery has not answered at the new address yet.
     is_address_new: bool,
     /// When a subscription was last renewed without the load balancer's backoff.
@@ -64,6 +68,7 @@
             shared,
             calls: OpenCalls::default(),
             next_call: NextCall::WhenRequested,
+            reachability_check: ReachabilityCheck::default(),
             is_address_new: false,
             last_renewal: f64::NEG_INFINITY,
         }
@@ -83,6 +88,7 @@
             event = self.calls.next_event() => self.handle_call_event(event),
             () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => self.start_call(),
             () = self.shared.list_requested.notified(), if takes_requests => self.schedule_call(0.0),
+            result = self.reachability_check.finished() => self.handle_reachability_check(result),
         }
     }
 
@@ -95,6 +101,7 @@
 
     fn start_call(&mut self) {
         self.next_call = NextCall::AfterLatest;
+        self.reachability_check.cancel();
         let address = self.shared.config.borrow().discovery;
         let mut list = self.shared.endpoint_list.borrow_mut();
         let path = list.next_request();
@@ -192,13 +199,28 @@
         let FailedCall { error, elapsed, .. } = failed;
         let reachability = failed.reachability();
         warn!("discovery at {address}: {error}, after {elapsed:.0} ms; {reachability}; {}", error.help());
-        self.shared.with_core(|relay, now| match reachability {
-            Reachability::Unreachable => relay.discovery_unreachable(now, call.sent_at),
-            Reachability::PossiblyReachable => relay.discovery_poll_failed(now),
-        });
+        match reachability {
+            Reachability::Unreachable => self.handle_unreachable(call.sent_at),
+            Reachability::PossiblyReachable => self.shared.with_core(Relay::discovery_poll_failed),
+        }
         self.schedule_after_failure(error);
     }
 
+    /// Handles a proof that discovery could not be reached at a time. The core is told again as long as that
+    /// is so: the next call may be due long after.
+    fn handle_unreachable(&mut self, at: Millis) {
+        self.shared.with_core(|relay, now| relay.discovery_unreachable(now, at));
+        let address = self.shared.config.borrow().discovery;
+        self.reachability_check.schedule(address, self.shared.clock);
+    }
+
+    fn handle_reachability_check(&mut self, result: CheckResult) {
+        match result {
+            CheckResult::UnreachableAt(at) => self.handle_unreachable(at),
+            CheckResult::PossiblyReachable => debug!("discovery: accepts connections again"),
+        }
+    }
+
     fn schedule_after_failure(&mut self, error: &CallError) {
         let was_subscribed = self.shared.endpoint_list.borrow_mut().poll_failed();
         if self.is_address_new || self.is_pushed() {
--- a/src/relay/list_lease.rs
+++ b/src/relay/list_lease.rs
@@ -63,7 +63,7 @@
     /// serving by the list that it has.
     pub fn discovery_unreachable(&mut self, now: Millis, called_at: Millis) {
         if self.is_bound_by_lease() {
-            info!("discovery: unreachable, so the list stays valid for {LIST_LEASE_MS:.0} ms more");
+            debug!("discovery: unreachable, so the list stays valid for {LIST_LEASE_MS:.0} ms more");
         }
         self.renew_list_lease(now, called_at);
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -563,3 +563,27 @@
     assert_eq!(relay.client().open("").line(), "UP 2");
     assert!(endpoints[0].seen().iter().all(|line| !line.starts_with("OPEN")), "{:?}", endpoints[0].seen());
 }
+
+/// How long discovery is down: longer than a list stays valid, and long enough for pauses between polls to
+/// grow.
+const LONG_OUTAGE: Duration = Duration::from_secs(20);
+
+/// Guards against a relay that stops serving while discovery is down: in a large cluster its polls are further
+/// apart than a list stays valid.
+#[test]
+fn a_relay_of_a_large_cluster_serves_on_while_discovery_is_down() {
+    let list = Discovery::start();
+    let endpoint = Endpoint::lines("UP 1\r\n");
+    list.set("s-0", &endpoint.address, "Ready", 0);
+    let service = Service::start(&list);
+    let settings = settings(200, 7, 200).replace("peerMessages = true", "peerMessages = false");
+    let relay = Relay::start_more(&list.asked_at(&service.address), 1024, &[host()], 0, &settings);
+    until("the long poll is open", || service.answered_at(1).is_some() && service.polls() > 1);
+    service.set(ServiceMode::Refuses);
+    let down_since = Instant::now();
+    while down_since.elapsed() < LONG_OUTAGE {
+        let answer = relay.client().open("").line();
+        assert!(answer.starts_with("UP"), "{:?}: {answer}: {}", down_since.elapsed(), relay.log());
+        thread::sleep(Duration::from_millis(50));
+    }
+}
