--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Duration, Instant};
 
 /// Descriptors that the process itself needs: standard streams (3), poller, waker and signals (4), listeners
-/// (2), datagram sockets (2), the call to discovery, a file that is being read, one accepted client for each
+/// (2), datagram sockets (2), connections to discovery (2), a file that is being read, one accepted client for each
 /// listener (2), the operators' listener with a reserve descriptor (2) and its callers
 /// ([`MAX_OPERATOR_CALLERS`]), and some for descriptors that are being closed.
 const PROCESS_DESCRIPTORS: usize = 32;
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -25,6 +25,8 @@
 struct SlowCase {
     relays: usize,
     peer_messages: bool,
+    /// Whether lists are pushed: the service is then an agent on the relay's machine.
+    pushed: bool,
     latency: Latency,
     /// Whether answers are late from the start of the relays on, and not only later.
     from_start: bool,
@@ -34,20 +36,24 @@
     /// A service that delays calls that begin a subscription, and answers the watches after them at once.
     fn late_calls(relays: usize, delay_ms: u64) -> SlowCase {
         let latency = Latency { calls: Duration::from_millis(delay_ms), watches: Duration::ZERO };
-        SlowCase { relays, peer_messages: false, latency, from_start: true }
+        SlowCase { relays, peer_messages: false, pushed: false, latency, from_start: true }
     }
 
     /// A service that delays all calls, from some time after the start of the relays on.
     fn late_later(relays: usize, delay_ms: u64) -> SlowCase {
         let delay = Duration::from_millis(delay_ms);
         let latency = Latency { calls: delay, watches: delay };
-        SlowCase { relays, peer_messages: false, latency, from_start: false }
+        SlowCase { relays, peer_messages: false, pushed: false, latency, from_start: false }
     }
 
     fn with_peer_messages(self) -> SlowCase {
         SlowCase { peer_messages: true, ..self }
     }
 
+    fn with_pushed_lists(self) -> SlowCase {
+        SlowCase { pushed: true, ..self }
+    }
+
     /// Lets an endpoint drain while answers are late. Checks that nothing is sent to that endpoint once the
     /// change counts as known, and that calls do not accumulate. Returns how many clients were served.
     fn check(self) -> usize {
@@ -93,11 +99,12 @@
 
     fn settings(self, local_index: usize) -> String {
         let SlowCase { relays, peer_messages, .. } = self;
+        let discovery = if self.pushed { "pushed" } else { "on_request" };
         let relay_count = relays.max(2);
         format!(
             r#"
 [settings]
-discovery = "on_request"
+discovery = "{discovery}"
 nInstances = {relay_count}
 me = {local_index}
 resolutionMs = 2.0
@@ -136,6 +143,12 @@
     SlowCase::late_later(2, 8000).check();
 }
 
+/// Guards against an agent of pushed lists that is never heard since each of its answers is late.
+#[test]
+fn a_slow_agent_of_pushed_lists_still_stops_sends_to_a_draining_endpoint() {
+    assert!(SlowCase::late_calls(1, 2800).with_pushed_lists().check() > 0, "nobody was served");
+}
+
 /// Guards against the same in a small cluster whose relays may send each other messages: it has no gossip
 /// about draining endpoints.
 #[test]
