--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -111,6 +111,8 @@
         let list = serde_json::json!({"revision": 0, "complete": true, "members": raw_entries});
         let (_, entries) = self.apply_json(&list)?;
         self.revision = revision;
+        // When the list was confirmed is unknown, so the first request asks for changes without a wait.
+        self.unconfirmed = revision.is_some();
         Ok(entries)
     }
 
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -62,3 +62,11 @@
     list.next_request();
     assert!(list.sent_call(0.0).wait >= MIN_WAIT_MS, "prompt again");
 }
+
+/// Guards against a successor process that places no connection until the hold of its first watch ends.
+#[test]
+fn a_handed_over_list_is_confirmed_by_a_request_without_a_wait() {
+    let mut list = EndpointList::default();
+    list.import(Some(7), Vec::new()).expect("a list");
+    assert!(list.next_request().ends_with("?after=7&wait_ms=0"));
+}
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -183,3 +183,24 @@
     }
     assert_eq!(attempts(), before, "a request was sent to the draining endpoint");
 }
+
+/// How long clients connect while another process takes over.
+const HAND_OVER: Duration = Duration::from_secs(4);
+
+/// Guards against clients that are rejected since the list that was handed over is not confirmed at once.
+#[test]
+fn clients_are_served_throughout_a_hand_over() {
+    let list = Discovery::start();
+    let endpoint = Endpoint::lines("UP 1\r\n");
+    list.set("s-0", &endpoint.address, "Ready", 0);
+    let folder = tempfile::tempdir().unwrap();
+    let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), SlowCase::late_calls(1, 0).settings(0));
+    let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
+    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    let successor = relay.beside();
+    let start = Instant::now();
+    while start.elapsed() < HAND_OVER {
+        let answer = relay.client().open("").line();
+        assert!(answer.starts_with("UP"), "{:?}: {answer}: {}", start.elapsed(), successor.log());
+    }
+}
