--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -324,6 +324,17 @@
         Self::start_limited(discovery, &format!("ulimit -n {sockets}"), sockets, cluster, local_index, more)
     }
 
+    /// Starts a relay like [`Relay::start_more`], and does not wait until it is ready for clients.
+    pub fn start_unready(
+        discovery: &Discovery,
+        sockets: u32,
+        cluster: &[String],
+        local_index: usize,
+        more: &str,
+    ) -> Relay {
+        Self::start_listening(discovery, &format!("ulimit -n {sockets}"), sockets, cluster, local_index, more)
+    }
+
     /// Starts a relay like [`Relay::start_more`], under the limits that the shell command `limits` sets. They
     /// may differ from the configured number of descriptors, `sockets`.
     pub fn start_limited(
@@ -333,6 +344,20 @@
         cluster: &[String],
         local_index: usize,
         more: &str,
+    ) -> Relay {
+        let relay = Self::start_listening(discovery, limits, sockets, cluster, local_index, more);
+        until("the relay is ready", || !relay.status().contains("starting"));
+        relay
+    }
+
+    /// Starts a relay like [`Relay::start_limited`], and waits only until it accepts connections.
+    fn start_listening(
+        discovery: &Discovery,
+        limits: &str,
+        sockets: u32,
+        cluster: &[String],
+        local_index: usize,
+        more: &str,
     ) -> Relay {
         let (host, folder) = (&cluster[local_index], tempfile::tempdir().unwrap());
         let [line, rtmp, snmp, ops] = [8443, 1935, 1161, 8444].map(|port| format!("{host}:{port}"));
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -549,7 +549,7 @@
     let service = Service::start(&current);
     // The relay is one of many that poll in turn, and peers do not report which endpoints have left.
     let settings = settings(200, 7, 200).replace("peerMessages = true", "peerMessages = false");
-    let relay = Relay::start_more(&known.asked_at(&service.address), 1024, &[host()], 0, &settings);
+    let relay = Relay::start_unready(&known.asked_at(&service.address), 1024, &[host()], 0, &settings);
     let mut clients: Vec<Client> = (0..20).map(|_| relay.client()).collect();
     for client in &mut clients {
         client.open(&format!(",g={:x}", unix_ms()));
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -92,7 +92,7 @@
         let hosts: Vec<_> = (0..self.relays).map(|_| host()).collect();
         let start = |local_index| {
             let settings = self.settings(local_index);
-            Relay::start_more(list, 256, &hosts, local_index, &settings)
+            Relay::start_unready(list, 256, &hosts, local_index, &settings)
         };
         (0..self.relays).map(start).collect()
     }
