--- a/review/rig-2/relay.rs
+++ b/review/rig-2/relay.rs
@@ -47,13 +47,24 @@
 
 /// A free loopback address for TCP.
 pub fn free_address() -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind((system::host(), 0)).map_err(|e| format!("no free address: {e}"))?;
-    listener.local_addr().map_err(|e| format!("no free address: {e}"))
+    Ok(free_addresses(1)?[0])
 }
 
-fn free_datagram_address() -> Result<SocketAddr, String> {
-    let socket = UdpSocket::bind((system::host(), 0)).map_err(|e| format!("no free address: {e}"))?;
-    socket.local_addr().map_err(|e| format!("no free address: {e}"))
+/// Free loopback addresses for TCP, each another one.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, String> {
+    // All are held until the last is found: the system may give a port that was given back once more.
+    let bind = |_| TcpListener::bind((system::host(), 0));
+    let held = (0..count).map(bind).collect::<Result<Vec<_>, _>>();
+    let addresses = held.and_then(|held| held.iter().map(TcpListener::local_addr).collect());
+    addresses.map_err(|e| format!("no free address: {e}"))
+}
+
+/// Free loopback addresses for datagrams, each another one.
+fn free_datagram_addresses(count: usize) -> Result<Vec<SocketAddr>, String> {
+    let bind = |_| UdpSocket::bind((system::host(), 0));
+    let held = (0..count).map(bind).collect::<Result<Vec<_>, _>>();
+    let addresses = held.and_then(|held| held.iter().map(UdpSocket::local_addr).collect());
+    addresses.map_err(|e| format!("no free address: {e}"))
 }
 
 /// Where one relay and its peers are, and what it is told.
@@ -79,20 +90,19 @@
         discovery: &[SocketAddr],
         known: &str,
     ) -> Result<Vec<RelayConfig>, String> {
-        let peers = (0..settings.relays).map(|_| free_datagram_address()).collect::<Result<Vec<_>, _>>()?;
-        let config = |number: usize| {
-            Ok(RelayConfig {
-                number,
-                listen: free_address()?,
-                operators: free_address()?,
-                discovery: discovery[number % discovery.len()],
-                peers: peers.clone(),
-                settings: settings.clone(),
-                known: known.into(),
-                folder: None,
-            })
+        let peers = free_datagram_addresses(settings.relays)?;
+        let addresses = free_addresses(2 * settings.relays)?;
+        let config = |number: usize| RelayConfig {
+            number,
+            listen: addresses[2 * number],
+            operators: addresses[2 * number + 1],
+            discovery: discovery[number % discovery.len()],
+            peers: peers.clone(),
+            settings: settings.clone(),
+            known: known.into(),
+            folder: None,
         };
-        (0..settings.relays).map(config).collect()
+        Ok((0..settings.relays).map(config).collect())
     }
 
     fn to_json(&self, start: usize) -> String {
