--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -47,7 +47,7 @@
         deployment.addresses.iter().for_each(|agent| agent.set_silent(true));
     }
     sleep((died + ABSENCE).saturating_duration_since(Instant::now()));
-    let relay = Relay::start(&deployment.configs[0], None)?;
+    let relay = Relay::start(&deployment.configs[0])?;
     relay.wait_ready()?;
     let ready_at = Instant::now();
     for n in 0..REQUESTS {
--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -1,6 +1,6 @@
 //! A small deployment: discovery, streamers and relays, all running, and the connections that clients open.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::thread::{self, sleep};
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use super::relay::{Relay, RelayConfig};
 use super::settings::Settings;
 use super::streamer::Streamer;
-use super::{ms, note, system};
+use super::{ms, note};
 
 /// Every deployment of the cases has so many streamers.
 pub const STREAMERS: usize = 12;
@@ -153,10 +153,3 @@
     client.send("bye");
     (!is_echoed).then_some(client.request.id)
 }
-
-/// The platform's listening socket of a relay's clients, which every process of the relay inherits.
-pub fn platform_socket() -> Result<TcpListener, String> {
-    let listener = TcpListener::bind((system::host(), 0)).map_err(|e| format!("no free address: {e}"))?;
-    listener.set_nonblocking(true).map_err(|e| format!("the platform's socket: {e}"))?;
-    Ok(listener)
-}
--- a/review/rig-2/relay.rs
+++ b/review/rig-2/relay.rs
@@ -4,7 +4,6 @@
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -14,8 +13,6 @@
 use super::settings::Settings;
 use super::{note, system, wait_until};
 
-/// The number under which a relay inherits the clients' listening socket.
-const PASSED_DESCRIPTOR: i32 = 7;
 /// How long a relay may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
@@ -45,11 +42,6 @@
     std::env::temp_dir().join(format!("sandgw-review-{}", std::process::id()))
 }
 
-/// A free loopback address for TCP.
-pub fn free_address() -> Result<SocketAddr, String> {
-    Ok(free_addresses(1)?[0])
-}
-
 /// Free loopback addresses for TCP, each another one.
 fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, String> {
     // All are held until the last is found: the system may give a port that was given back once more.
@@ -79,8 +71,6 @@
     pub settings: Settings,
     /// The list that it had most recently, as JSON.
     pub known: String,
-    /// The folder for temporary files; an empty one of its own if there is none.
-    pub folder: Option<PathBuf>,
 }
 
 impl RelayConfig {
@@ -100,7 +90,6 @@
             peers: peers.clone(),
             settings: settings.clone(),
             known: known.into(),
-            folder: None,
         };
         Ok((0..settings.relays).map(config).collect())
     }
@@ -130,12 +119,12 @@
 }
 
 impl Relay {
-    /// Starts a process. With `passed`, it inherits this listening socket of its clients.
-    pub fn start(config: &RelayConfig, passed: Option<&TcpListener>) -> Result<Relay, String> {
+    /// Starts a process, with an empty folder for temporary files.
+    pub fn start(config: &RelayConfig) -> Result<Relay, String> {
         let start = LOGS.lock().unwrap().len();
         let name = format!("n{}, start {start}", config.number);
         let folder = case_folder().join(format!("start-{start}"));
-        let temporary = config.folder.clone().unwrap_or_else(|| folder.join("tmp"));
+        let temporary = folder.join("tmp");
         let fault = |e: std::io::Error| format!("relay {name}: {e}");
         fs::create_dir_all(&folder).map_err(fault)?;
         fs::create_dir_all(&temporary).map_err(fault)?;
@@ -148,18 +137,11 @@
         command.env("PROXY_LISTEN", config.listen.to_string());
         command.env("PROXY_DISCOVERY", config.discovery.to_string());
         command.env("PROXY_OPS", config.operators.to_string()).env("PROXY_CONFIG", &file);
-        if passed.is_some() {
-            command.env("PROXY_PASSED_SOCKET", PASSED_DESCRIPTOR.to_string());
-        }
-        let passed = passed.map(AsRawFd::as_raw_fd);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(&log).map_err(fault)?);
         // SAFETY: the closure only makes system calls.
         unsafe {
-            command.pre_exec(move || {
+            command.pre_exec(|| {
                 system::end_with_parent();
-                if let Some(descriptor) = passed {
-                    system::duplicate_to(descriptor, PASSED_DESCRIPTOR);
-                }
                 Ok(())
             })
         };
@@ -172,8 +154,7 @@
 
     /// Starts all relays, each with its place in the list, and waits until all answer `PING`.
     pub fn start_all(configs: &[RelayConfig]) -> Result<Vec<Relay>, String> {
-        let relays =
-            configs.iter().map(|config| Relay::start(config, None)).collect::<Result<Vec<_>, _>>()?;
+        let relays = configs.iter().map(Relay::start).collect::<Result<Vec<_>, _>>()?;
         relays.iter().try_for_each(|relay| relay.wait_ready())?;
         Ok(relays)
     }
@@ -185,11 +166,6 @@
         if is_ready { Ok(()) } else { Err(format!("relay n{} is not ready", self.config.number)) }
     }
 
-    /// Makes an operators' call.
-    pub fn call(&self, call: &str) -> String {
-        answer(self.config.operators, &format!("{call}\n"))
-    }
-
     pub fn signal(&self, signal: i32) {
         note(&format!("relay n{}, process {}: signal {signal}", self.config.number, self.child.id()));
         system::send_signal(self.child.id(), signal);
--- a/review/rig-2/system.rs
+++ b/review/rig-2/system.rs
@@ -11,7 +11,6 @@
     Ipv4Addr::new(127, 16 + (process / 250 % 200) as u8, 1 + (process % 250) as u8, 1)
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -29,7 +28,6 @@
     fn kill(process: i32, signal: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
     fn prctl(option: i32, ...) -> i32;
-    fn dup2(from: i32, to: i32) -> i32;
 }
 
 /// Sends a signal to a process that the case has started.
@@ -54,9 +52,3 @@
     // SAFETY: the call takes two numbers.
     unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
 }
-
-/// Gives a descriptor another number, without the mark that closes it when a program is run.
-pub fn duplicate_to(from: i32, to: i32) {
-    // SAFETY: the call takes two numbers.
-    unsafe { dup2(from, to) };
-}
