Use no list of the last run before the agent has answered; take over only with a list

Cause: the list lease did not bind where lists are pushed, so the list of the last run was valid without limit. What the agent had been told before the process started counts as known from its first moment on. Change: a pushed list is valid once the agent has answered this process; a refused call confirms nothing; another agent's address ends its validity after 4 s. Why it works: only an answer shows what the agent has; from the first one on its silence means that it has learned nothing.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -171,7 +171,9 @@
         }
         self.shared.endpoint_list.borrow_mut().record_answer_time(call, self.shared.clock.now());
         self.shared.handle_list_update(kind, entries, call.sent_at);
+        self.shared.has_discovery_answered.set(true);
         self.shared.with_core(|relay, now| relay.discovery_answered(now, call.confirmed_at(now)));
+        self.shared.list_confirmed.notify_one();
     }
 
     /// Handles a call that may still be answered.
@@ -210,6 +212,7 @@
     /// is so: the next call may be due long after.
     fn handle_unreachable(&mut self, at: Millis) {
         self.shared.with_core(|relay, now| relay.discovery_unreachable(now, at));
+        self.shared.list_confirmed.notify_one();
         let address = self.shared.config.borrow().discovery;
         self.reachability_check.schedule(address, self.shared.clock);
     }
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -69,6 +69,10 @@
     pub pool: Rc<BufferPool>,
     /// Notified when the load balancer requests the endpoint list.
     pub list_requested: Notify,
+    /// Whether discovery has answered this process.
+    pub has_discovery_answered: Cell<bool>,
+    /// Notified when an answer, or an outage of discovery, may have confirmed the endpoint list.
+    pub list_confirmed: Notify,
     /// Notified when the configured address of discovery has changed.
     pub discovery_address_changed: Notify,
     /// The socket for datagrams between relays.
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -71,6 +71,8 @@
         socket.writable().await?;
     }
     load_configured_list(&shared, ConfiguredList { endpoint_list, entries });
+    // A successor process takes over only with a list of its own that discovery has confirmed.
+    spawn_local(discovery::watch(shared.clone()));
     let is_takeover = predecessor.is_some();
     take_over(&shared, predecessor, folder.as_deref()).await?;
     if !is_takeover {
@@ -116,6 +118,8 @@
         endpoint_list: RefCell::default(),
         pool: Rc::default(),
         list_requested: Notify::new(),
+        has_discovery_answered: Cell::new(false),
+        list_confirmed: Notify::new(),
         discovery_address_changed: Notify::new(),
         peer_socket: OnceCell::new(),
         peer_channel,
@@ -198,7 +202,6 @@
 fn start_drivers(shared: &Rc<Shared>, agent: Option<UdpSocket>) {
     spawn_local(tick(shared.clone()));
     spawn_local(schema_version::run(shared.clone()));
-    spawn_local(discovery::watch(shared.clone()));
     spawn_local(peers::receive(shared.clone()));
     spawn_local(affinity_store::write_behind(shared.clone()));
     spawn_local(maintenance::run_ticks(shared.clone()));
--- a/src/net/takeover/successor.rs
+++ b/src/net/takeover/successor.rs
@@ -5,6 +5,7 @@
 use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 
 use log::{info, warn};
 use sandgw_affinity::Record;
@@ -29,6 +30,9 @@
 
 /// How often the snapshot is requested at the most where the running process breaks the link.
 const MAX_SNAPSHOT_REQUESTS: u32 = 3;
+/// How long the running process is left to serve while nothing confirms this process's endpoint list. The
+/// running process waits for twice as long.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The running process, which has sent its state and still serves.
 pub struct Predecessor {
@@ -174,9 +178,13 @@
     }
 }
 
-/// Applies the running process's endpoint list, so that discovery need not send the whole list again.
+/// Applies the running process's endpoint list, so that discovery need not send the whole list again. A list
+/// that discovery has already confirmed to this process is at least as new, and stays.
 fn apply_list(shared: &Rc<Shared>, list: Option<ReceivedList>) -> Result<(), ListError> {
     let Some(ReceivedList { revision, entries }) = list else { return Ok(()) };
+    if shared.has_discovery_answered.get() {
+        return Ok(());
+    }
     let entries = shared.endpoint_list.borrow_mut().import(revision, entries)?;
     shared.with_core(|relay, now| match revision {
         Some(revision) => {
@@ -194,11 +202,16 @@
     shared.with_core(|relay, now| relay.restore_affinity(now, records.into_iter()));
 }
 
-/// Takes the relay over. When this succeeds, the running process has stopped accepting clients for good.
+/// Takes the relay over once this process has an endpoint list that it may use. When this succeeds, the running
+/// process has stopped accepting clients for good.
 ///
 /// # Errors
-/// The link broke, or the running process refuses, does not answer in time, or sends data that can't be used.
+/// The link broke, or the running process refuses, does not answer in time, or sends data that can't be used,
+/// or nothing has confirmed the endpoint list in time.
 pub async fn take_over(shared: &Rc<Shared>, predecessor: &mut Predecessor) -> Result<(), TakeoverFailure> {
+    if timeout(LIST_TIMEOUT, wait_for_confirmed_list(shared)).await.is_err() {
+        return Err(refused("discovery has not confirmed the list; the running process goes on serving"));
+    }
     predecessor.send(&Message::TakeoverRequest).await?;
     loop {
         let ReceivedMessage { message, action } = predecessor.next().await?;
@@ -218,6 +231,13 @@
     }
 }
 
+/// Waits until the endpoint list of this process is confirmed: the running process serves meanwhile.
+async fn wait_for_confirmed_list(shared: &Rc<Shared>) {
+    while !shared.relay.borrow().is_list_confirmed() {
+        shared.list_confirmed.notified().await;
+    }
+}
+
 /// Continues the slow-start pause of the running process, and its standby, which has lasted for
 /// `standby_elapsed`.
 fn continue_pauses(shared: &Rc<Shared>, standby_elapsed: Option<Millis>, slow_start_pause: Millis) {
--- a/src/relay/list_lease/tests.rs
+++ b/src/relay/list_lease/tests.rs
@@ -18,6 +18,10 @@
     Settings { peer_messages: true, ..without_messages() }
 }
 
+fn with_pushed_lists() -> Settings {
+    Settings { discovery: Discovery::Pushed, ..with_messages() }
+}
+
 /// A relay that has just loaded its cached list.
 fn starting(settings: Settings) -> Relay {
     let mut relay = Relay::new(settings, vec!["safe".into()], 7, START);
@@ -104,6 +108,49 @@
     assert!(!places_request(&mut relay, START + 5001.0));
 }
 
+/// Guards against sends by the list of the last run where lists are pushed: what the agent has counts as
+/// known, whether or not it has answered.
+#[test]
+fn a_process_uses_no_pushed_list_before_its_agent_has_answered() {
+    let mut relay = starting(with_pushed_lists());
+    assert_eq!(relay.serving_mode(), ServingMode::Starting);
+    relay.discovery_poll_failed(START + 50.0);
+    relay.discovery_unreachable(START + 60.0, START + 55.0);
+    assert_eq!(
+        relay.serving_mode(),
+        ServingMode::Starting,
+        "an agent that can't be reached may have changes"
+    );
+    end_start(&mut relay);
+    assert_eq!(relay.serving_mode(), ServingMode::Active, "a process has to be ready in time");
+    assert!(!places_request(&mut relay, START + 5060.0));
+    relay.discovery_answered(START + 7000.0, START + 6990.0);
+    assert!(places_request(&mut relay, START + 7010.0));
+}
+
+/// Guards against connections that are rejected in an outage of discovery: the agent is silent then and
+/// learns nothing.
+#[test]
+fn a_pushed_list_stays_valid_while_its_agent_is_silent() {
+    let mut relay = started(with_pushed_lists());
+    relay.discovery_answered(START + 50.0, START + 50.0);
+    assert_eq!(relay.serving_mode(), ServingMode::Active);
+    relay.discovery_poll_failed(START + 3000.0);
+    assert!(places_request(&mut relay, START + 60_000.0));
+}
+
+/// Guards against sends by the list of the old agent after what the new one has counts as known.
+#[test]
+fn a_new_address_of_the_agent_ends_the_validity_of_a_pushed_list() {
+    let mut relay = started(with_pushed_lists());
+    relay.discovery_answered(START + 50.0, START + 50.0);
+    relay.discovery_changed(START + 1000.0);
+    assert!(places_request(&mut relay, START + 5000.0));
+    assert!(!places_request(&mut relay, START + 5001.0));
+    relay.discovery_answered(START + 6000.0, START + 5990.0);
+    assert!(places_request(&mut relay, START + 60_000.0));
+}
+
 /// Guards against a lease that begins when a late answer arrives: the answer may be as old as its request.
 #[test]
 fn a_late_answer_confirms_the_list_as_of_its_request_at_the_earliest() {
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -204,3 +204,84 @@
         assert!(answer.starts_with("UP"), "{:?}: {answer}: {}", start.elapsed(), successor.log());
     }
 }
+
+/// Checks that clients are served while another process takes over, although discovery answers late.
+fn check_hand_over_with_late_answers(case: SlowCase) {
+    let list = Discovery::start();
+    let endpoint = Endpoint::lines("UP 1\r\n");
+    list.set("s-0", &endpoint.address, "Ready", 0);
+    let folder = tempfile::tempdir().unwrap();
+    let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), case.settings(0));
+    let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
+    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    list.set_latency(case.latency);
+    let successor = relay.beside();
+    let start = Instant::now();
+    while start.elapsed() < LATE_HAND_OVER {
+        let answer = relay.client().open("").line();
+        assert!(answer.starts_with("UP"), "{:?}, {case:?}: {answer}: {}", start.elapsed(), successor.log());
+    }
+    assert!(successor.log().contains("this process serves"), "{case:?}: {}", successor.log());
+}
+
+/// How long clients connect while another process takes over and discovery answers late.
+const LATE_HAND_OVER: Duration = Duration::from_secs(6);
+
+/// Guards against a successor process that takes over before it may use its list, and rejects the clients that
+/// its predecessor would serve.
+#[test]
+fn a_predecessor_serves_until_its_successor_may_use_its_list() {
+    check_hand_over_with_late_answers(SlowCase::late_calls(1, 2800));
+    check_hand_over_with_late_answers(SlowCase::late_calls(1, 2800).with_pushed_lists());
+}
+
+/// Guards against an upgrade while no answer comes that turns a relay that serves into one that rejects all
+/// clients.
+#[test]
+fn a_successor_whose_agent_is_silent_leaves_the_relay_to_its_predecessor() {
+    let list = Discovery::start();
+    let endpoint = Endpoint::lines("UP 1\r\n");
+    list.set("s-0", &endpoint.address, "Ready", 0);
+    let folder = tempfile::tempdir().unwrap();
+    let case = SlowCase::late_later(1, 60_000).with_pushed_lists();
+    let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), case.settings(0));
+    let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
+    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    list.set_latency(case.latency);
+    let successor = relay.beside();
+    let start = Instant::now();
+    while !successor.has_ended() {
+        let answer = relay.client().open("").line();
+        assert!(answer.starts_with("UP"), "{:?}: {answer}: {}", start.elapsed(), successor.log());
+        assert!(start.elapsed() < LONG, "the successor waits on: {}", successor.log());
+    }
+    assert!(successor.log().contains("goes on serving"), "{}", successor.log());
+    let answer = relay.client().open("").line();
+    assert!(answer.starts_with("UP"), "{answer}: {}", relay.log());
+}
+
+/// Guards against a restarted relay that sends by the list of its last run while its agent, which has been
+/// told of a drain, is silent.
+#[test]
+fn a_relay_that_starts_beside_a_silent_agent_uses_no_list_of_its_last_run() {
+    let list = Discovery::start();
+    let endpoint = Endpoint::lines("UP 1\r\n");
+    list.set("s-0", &endpoint.address, "Ready", 0);
+    let case = SlowCase::late_later(1, 60_000).with_pushed_lists();
+    let relay = Relay::start_more(&list, 256, &[host()], 0, &case.settings(0));
+    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    relay.signal("KILL");
+    until("the relay has ended", || relay.has_ended());
+    list.set("s-0", &endpoint.address, "Terminating", 0);
+    list.set_latency(case.latency);
+    let attempts = || endpoint.seen().iter().filter(|line| line.starts_with("OPEN")).count();
+    let before = attempts();
+    let relay = relay.beside();
+    until("the relay listens", || std::net::TcpStream::connect(&relay.line).is_ok());
+    until("the relay is ready", || relay.client().send("PING\r\n").line() == "PONG");
+    for _ in 0..10 {
+        let answer = relay.client().open("").line();
+        assert!(answer.starts_with("BUSY"), "{answer}: {}", relay.log());
+    }
+    assert_eq!(attempts(), before, "a request was sent to the draining endpoint");
+}
