Ask clients to reconnect before a planned restart ends their connections

RTMP connections were cut off whatever the mode. Cause: SIGTERM was only recorded; only the call standby and a hand-over started the migration off a relay. Related path: the steps after a hand-over counted from the hand-over, so that clients were all asked at once where SIGTERM came later; they count from the start of the migration. Why it works: SIGKILL comes 3.7 s after SIGTERM at the earliest, and what is established later is asked at the next step.

--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -47,11 +47,13 @@
 }
 
 /// Records SIGTERM, after which the process goes on serving. The platform kills the program at the end of the
-/// time that clients have to leave, and connections that are still established are served until then. A
-/// process that has handed over ends once no connection is left.
+/// time that clients have to leave: clients whose connections would end with the process are asked to
+/// reconnect before, and all connections are served until then. A process that has handed over ends once no
+/// connection is left.
 async fn handle_terminate(shared: Rc<Shared>, mut signal: Signal) {
     while signal.recv().await.is_some() {
         shared.is_terminated.set(true);
+        shared.with_core(Relay::terminate);
         info!("SIGTERM: this process goes on serving until it is killed");
     }
 }
--- a/src/net/takeover/predecessor.rs
+++ b/src/net/takeover/predecessor.rs
@@ -220,7 +220,7 @@
         self.send_affinity_changes().await?;
         self.report_descriptors().await?;
         if self.shared.is_terminated.get() {
-            self.shared.with_core(|relay, _| relay.transfer_connections(MAX_TRANSFERS_AT_A_TIME));
+            self.shared.with_core(|relay, now| relay.transfer_connections(now, MAX_TRANSFERS_AT_A_TIME));
         }
         if self.transfers.is_empty() && is_finished(self.shared) {
             info!("hand-over: no connection is left in this process; it ends");
@@ -317,7 +317,7 @@
     }
 
     async fn grant_ownership(&mut self) -> io::Result<()> {
-        self.shared.with_core(|relay, now| relay.hand_over(now));
+        self.shared.with_core(|relay, _| relay.hand_over());
         self.link.send(&Message::OwnershipGranted).await?;
         info!("hand-over: done; this process serves its remaining connections");
         Ok(())
--- a/src/relay/standby.rs
+++ b/src/relay/standby.rs
@@ -1,7 +1,7 @@
-//! Standby, and the migration of connections off this relay on standby or once this process is to end. A
-//! migration asks the client to reconnect to any relay; a transfer (`transfer`) passes the connection's
-//! sockets to the successor process of this relay; after a hand-over (`takeover`) the successor accepts new
-//! connections.
+//! Standby, and the migration of connections off this relay: on standby, after SIGTERM has announced the end of
+//! this process, and after a hand-over. A migration asks the client to reconnect to any relay; a transfer
+//! (`transfer`) passes the connection's sockets to the successor process of this relay; after a hand-over
+//! (`takeover`) the successor accepts new connections.
 
 use std::fmt;
 
@@ -36,15 +36,25 @@
     }
 }
 
-/// Whether and since when the relay is on standby or handed over.
+/// Why connections migrate off this relay, and since when they do.
 #[derive(Default)]
 pub(super) struct StandbyState {
     /// Since when the relay is on standby.
     pub(super) since: Option<Millis>,
-    /// Since when another process serves in place of this process.
-    pub(super) handed_over_at: Option<Millis>,
-    /// Whether the timer of the next migration step is set.
-    migration_timer_set: bool,
+    /// Whether another process serves in place of this process.
+    pub(super) is_handed_over: bool,
+    /// Whether this process was told to terminate.
+    is_terminating: bool,
+    /// Since when connections migrate off this relay; `None` while the timer of the migration steps is not
+    /// set.
+    migrating_since: Option<Millis>,
+}
+
+impl StandbyState {
+    /// Whether connections that can't stay are to leave this relay.
+    fn is_leaving(&self) -> bool {
+        self.since.is_some() || self.is_handed_over || self.is_terminating
+    }
 }
 
 impl Relay {
@@ -63,7 +73,14 @@
     /// call changes nothing.
     pub fn enter_standby(&mut self, now: Millis) {
         self.standby.since.get_or_insert(now);
-        self.start_migration();
+        self.start_migration(now);
+    }
+
+    /// Records that this process was told to terminate and will be killed some time later. It goes on serving,
+    /// and migrates the connections that would end with it.
+    pub fn terminate(&mut self, now: Millis) {
+        self.standby.is_terminating = true;
+        self.start_migration(now);
     }
 
     /// How long the relay has been on standby, if it is on standby.
@@ -77,20 +94,19 @@
     }
 
     /// Sets the timer of the migration steps, unless the timer is set already.
-    pub(super) fn start_migration(&mut self) {
-        if !self.standby.migration_timer_set {
-            self.standby.migration_timer_set = true;
+    pub(super) fn start_migration(&mut self, now: Millis) {
+        if self.standby.migrating_since.is_none() {
+            self.standby.migrating_since = Some(now);
             self.set_timer(MIGRATION_STEP_MS, CoreTimer::MigrationStep);
         }
     }
 
-    /// Runs one step of the migration off this relay, on standby or once this process is to end. Connections
-    /// that are established after this step are left to the next one.
+    /// Runs one step of the migration off this relay. Connections that are established after this step are
+    /// left to the next one.
     pub(super) fn run_migration_step(&mut self, now: Millis) {
-        let Some(since) = self.standby.since.or(self.standby.handed_over_at) else {
-            self.standby.migration_timer_set = false;
-            return;
-        };
+        let migrating_since = self.standby.migrating_since.take();
+        let Some(since) = migrating_since.filter(|_| self.standby.is_leaving()) else { return };
+        self.standby.migrating_since = Some(since);
         let mut due = self
             .connections
             .sorted_ids(|c| c.is_established() && !c.migrating && !self.needs_no_migration(c));
@@ -101,11 +117,12 @@
         self.set_timer(MIGRATION_STEP_MS, CoreTimer::MigrationStep);
     }
 
-    /// Whether a connection goes on without its client being asked to reconnect. On standby this holds only
-    /// for a connection that the network reroutes; after a hand-over without standby, also for one that can
-    /// be transferred to the successor process.
+    /// Whether a connection goes on without its client being asked to reconnect. On standby and after SIGTERM
+    /// this holds only for a connection that the network reroutes; after a hand-over without standby, also for
+    /// one that can be transferred to the successor process.
     fn needs_no_migration(&self, connection: &Connection) -> bool {
-        connection.reroutable && (self.packet_passthrough || self.standby.since.is_none())
+        let can_be_transferred = self.standby.is_handed_over && self.standby.since.is_none();
+        connection.reroutable && (self.packet_passthrough || can_be_transferred)
     }
 
     /// Asks the client of an established connection to reconnect, at most once for each connection; further
@@ -121,3 +138,6 @@
         self.command(id, ConnectionCommand::Migrate);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -7,19 +7,19 @@
 
 impl Relay {
     /// Records that another process serves in place of this process from now on.
-    pub fn hand_over(&mut self, now: Millis) {
-        self.standby.handed_over_at = Some(now);
+    pub fn hand_over(&mut self) {
+        self.standby.is_handed_over = true;
     }
 
     /// Records that the process that served in place of this process has failed, and that this process serves
     /// again.
     pub fn resume_serving(&mut self) {
-        self.standby.handed_over_at = None;
+        self.standby.is_handed_over = false;
     }
 
     /// Whether another process serves in place of this process.
     pub fn is_handed_over(&self) -> bool {
-        self.standby.handed_over_at.is_some()
+        self.standby.is_handed_over
     }
 
     /// Whether no request and no connection is left.
--- a/src/relay/transfer.rs
+++ b/src/relay/transfer.rs
@@ -46,8 +46,8 @@
     /// Commands the transfer of at most `max_connections` connections to the other process, since this
     /// process ends soon. Connections that can't be transferred are migrated as on standby, though the relay
     /// goes on accepting requests.
-    pub fn transfer_connections(&mut self, max_connections: usize) {
-        self.start_migration();
+    pub fn transfer_connections(&mut self, now: Millis, max_connections: usize) {
+        self.start_migration(now);
         let ids = self
             .connections
             .sorted_ids(|c| c.is_established() && !c.migrating && !c.transferring && c.reroutable);
--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -218,6 +218,54 @@
     assert!(echoes(&mut back, "here"));
 }
 
+/// The platform kills a process at the earliest this long after SIGTERM, with longest deadlines of up to 3 s.
+const TERMINATION_TIME: Duration = Duration::from_millis(3700);
+/// New connections still arrive for this long after SIGTERM.
+const LATE_ARRIVALS: Duration = Duration::from_millis(400);
+/// The largest part of the connections that may be told to move at one time.
+const MAX_MOVED_AT_ONCE: usize = 10;
+
+/// Guards against a planned restart that cuts off all connections that end with the process.
+#[test]
+fn after_sigterm_connections_that_end_with_the_process_are_told_to_move_one_after_the_other() {
+    let (_endpoint, _discovery, relay) = start_relay(PROXY);
+    let mut clients: Vec<Client> = (0..60).map(|_| establish(&relay)).collect();
+    relay.terminate();
+    let start = Instant::now();
+    while start.elapsed() < LATE_ARRIVALS {
+        clients.push(establish(&relay));
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(relay.client().send("PING\r\n").line(), "PONG", "the process serves on");
+    let readers = clients.into_iter().map(|mut client| {
+        thread::spawn(move || {
+            let told = client.line();
+            (told, start.elapsed(), client.line())
+        })
+    });
+    let moved: Vec<_> = readers.collect::<Vec<_>>().into_iter().map(|r| r.join().unwrap()).collect();
+    let in_time = |(told, at, end): &(String, Duration, String)| {
+        told == "MOVE" && end == "(end)" && *at < TERMINATION_TIME
+    };
+    assert!(moved.iter().all(in_time), "{moved:?}: {}", relay.log());
+    let window = Duration::from_millis(100);
+    let within =
+        |from: Duration| moved.iter().filter(|(_, at, _)| (from..from + window).contains(at)).count();
+    let most = moved.iter().map(|(_, at, _)| within(*at)).max().unwrap();
+    assert!(most <= MAX_MOVED_AT_ONCE, "{most} of {} at once: {moved:?}", moved.len());
+}
+
+/// Guards against clients that are told to move although their packets pass through a planned restart.
+#[test]
+fn after_sigterm_connections_that_pass_through_stay() {
+    let (_endpoint, _discovery, relay) = start_relay("");
+    let mut held = establish(&relay);
+    relay.terminate();
+    let mut late = establish(&relay);
+    thread::sleep(TERMINATION_TIME);
+    assert!(echoes(&mut held, "still") && echoes(&mut late, "here"));
+}
+
 #[test]
 fn going_active_again_ends_the_migrations() {
     let (_endpoint, _discovery, relay) = start_relay(PROXY);
--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -570,6 +570,19 @@
     until("the connection has ended", || relay.call(b"status\n") == "done standby, 0 standing");
 }
 
+/// Guards against a planned restart that cuts off RTMP connections, which no front can redirect.
+#[test]
+fn after_sigterm_a_client_is_told_to_reconnect() {
+    let _exclusive = run_exclusively();
+    let (_discovery, relay) = start_relay(&[endpoint("one", ACCEPTS, PACE)]);
+    let (mut client, _) = Peer::open(&relay, "vod/1", &[]);
+    client.next_video_number().unwrap();
+    relay.terminate();
+    let received = client.next_command();
+    assert!(received.contains("NetConnection.Connect.ReconnectRequest"), "{received}");
+    until("the connection has ended", || relay.call(b"status\n") == "done active, 0 standing");
+}
+
 /// An endpoint that accepts a connection, sets this chunk size, and then calls `continues`.
 fn endpoint_with_chunks(size: u32, continues: impl Fn(&TcpStream) + Send + Sync + 'static) -> Endpoint {
     Endpoint::start(move |stream, log| {
