Find repeated options of a line without comparing each with all others

Cause: OpenLine::request looked each name up among all before it: the cost grew with the square of the options. Change: the names are sorted once, and neighbours compared.

--- a/src/listener/line/open_line.rs
+++ b/src/listener/line/open_line.rs
@@ -42,14 +42,12 @@
             reroutable: true,
             ..IncomingRequest::default()
         };
+        if self.repeats_an_option() {
+            return None;
+        }
         let mut deadline_ms = None;
-        let mut seen_names = Vec::new();
         for option in self.options.split(',') {
             let (name, value) = option.split_once('=')?;
-            if seen_names.contains(&name) {
-                return None;
-            }
-            seen_names.push(name);
             match name {
                 "c" => request.class = value.to_owned(),
                 "d" => deadline_ms = Some(parse_deadline_ms(value)?),
@@ -66,6 +64,13 @@
         request.deadline = now + deadline_ms?;
         Some(request)
     }
+
+    /// Whether two options have the same name. The names are sorted, since a line may have a thousand of them.
+    fn repeats_an_option(&self) -> bool {
+        let mut names: Vec<&str> = self.options.split(',').filter_map(|o| o.split('=').next()).collect();
+        names.sort_unstable();
+        names.windows(2).any(|pair| pair[0] == pair[1])
+    }
 }
 
 fn text_key(value: &str) -> Option<Key> {
--- a/src/listener/tests.rs
+++ b/src/listener/tests.rs
@@ -1,12 +1,15 @@
-//! Tests that the line protocol parses an endpoint's bytes alike, however they are split over reads.
+//! Tests that the line protocol parses an endpoint's bytes alike, however they are split over reads, and what
+//! a client's line costs.
 
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 
 use super::line::{LineProtocol, LineProtocolState};
-use super::{AttemptAnswer, ClientProtocol};
+use super::{AttemptAnswer, ClientProtocol, ReadProgress};
 use crate::policy::api::Outcome;
+use crate::relay::ServingMode;
 
 fn protocol() -> LineProtocol {
     LineProtocol::new(Rc::new(LineProtocolState::default()), 1000.0)
@@ -133,3 +136,31 @@
         [None; 3]
     );
 }
+
+/// The longest line of options with short names that are all different: the first `count` of them.
+fn open_line_with_options(count: usize) -> Vec<u8> {
+    let options: String = (0..count).map(|n| format!(",{:x}=", n + 16)).collect();
+    format!("OPEN 1 2 c=none,d=2000{options}\r\n").into_bytes()
+}
+
+/// The shortest of many times that reading a line takes.
+fn shortest_read(line: &[u8]) -> Duration {
+    let read = || {
+        let (mut input, mut reply) = (BytesMut::from(line), BytesMut::new());
+        let start = Instant::now();
+        let progress = protocol().read_request(0.0, ServingMode::Active, &mut input, &mut reply);
+        assert_eq!(progress, ReadProgress::Close, "the class is unknown");
+        start.elapsed()
+    };
+    (0..200).map(|_| read()).min().unwrap()
+}
+
+/// Guards against a line whose cost grows with the square of its options: a few clients that sent such lines
+/// made all others wait.
+#[test]
+fn the_cost_of_a_line_grows_with_its_length_and_not_with_the_square_of_its_options() {
+    let (few, many) =
+        (shortest_read(&open_line_with_options(200)), shortest_read(&open_line_with_options(800)));
+    // Four times the options cost four times as much, or sixteen times where each is compared with all others.
+    assert!(many < few * 8, "{few:?} for 200 options, {many:?} for 800");
+}
