Reject an id that may have run when it comes again, also after an upgrade

Cause: an id was known only while its connection was open in this process. In an upgrade the old process sends them (Message::ConnectionIds, to a process that states version 3). Related path: the end of a connection freed the id of one that had arrived mid-flow with it; they are counted. What never ran stays free. Tests: two stated the fault. tests/line.rs said that the id of an ended connection is free; it now says that it runs once. A test of tests/closes.rs used ids twice (rounds named by the length of a word); each round has its own.

--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -4,7 +4,7 @@
 use sandgw_affinity::Record;
 use serde::{Deserialize, Serialize};
 
-use super::FIRST_PROTOCOL_VERSION;
+use super::{CONNECTION_IDS_VERSION, FIRST_PROTOCOL_VERSION};
 use crate::listener::TransferredProtocol;
 use crate::policy::api::Millis;
 use crate::policy::learned_state::LearnedState;
@@ -82,6 +82,16 @@
         /// The predecessor's schema version advertisement.
         advertisement: String,
     },
+    /// Hashes of the ids that clients of the predecessor have used, for successors of at least
+    /// [`CONNECTION_IDS_VERSION`](super::CONNECTION_IDS_VERSION).
+    ConnectionIds(Vec<u64>),
+}
+
+impl Message {
+    /// Whether this is the first message of a successor that reads [`Message::ConnectionIds`].
+    pub fn accepts_connection_ids(&self) -> bool {
+        matches!(self, Message::Hello { version, .. } if *version >= CONNECTION_IDS_VERSION)
+    }
 }
 
 /// The protocol version to use with the sender of this message, for a process whose newest version is
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -25,10 +25,14 @@
 
 /// First protocol version, which every process speaks. Two processes use the newest version that both speak.
 pub const FIRST_PROTOCOL_VERSION: u32 = 1;
+/// The version that a successor states if it reads [`Message::ConnectionIds`], with or without schema versions.
+pub const CONNECTION_IDS_VERSION: u32 = 3;
 /// Reason that a process gives when it does not speak the requested protocol version.
 pub const VERSION_MISMATCH: &str = "it speaks another form";
 /// Maximum number of affinity records in one message.
 pub const MAX_RECORDS_PER_MESSAGE: usize = 512;
+/// Maximum number of hashes of connection ids in one message.
+pub const MAX_IDS_PER_MESSAGE: usize = 4096;
 /// Maximum number of entries of the endpoint list in one message.
 pub const MAX_LIST_ENTRIES_PER_MESSAGE: usize = 64;
 /// Maximum number of listening sockets that are passed.
--- a/src/handover/successor.rs
+++ b/src/handover/successor.rs
@@ -70,6 +70,7 @@
             | Message::EndpointList { .. }
             | Message::AffinityRecords(_)
             | Message::LearnedState(_)
+            | Message::ConnectionIds(_)
             | Message::ListeningSockets(_) => SuccessorAction::Apply,
             Message::SnapshotComplete => {
                 *self = SuccessorProcess::AwaitingStop;
@@ -81,7 +82,7 @@
 
     fn handle_stop(&mut self, message: &Message) -> SuccessorAction {
         match message {
-            Message::AffinityRecords(_) => SuccessorAction::Apply,
+            Message::AffinityRecords(_) | Message::ConnectionIds(_) => SuccessorAction::Apply,
             Message::AcceptingStopped { .. } => {
                 *self = SuccessorProcess::AwaitingOwnership;
                 SuccessorAction::ClaimOwnership
@@ -103,9 +104,10 @@
     /// Handles what the predecessor still sends after the grant, until the predecessor ends.
     fn handle_remainder(message: &Message) -> SuccessorAction {
         match message {
-            Message::AffinityRecords(_) | Message::Connection { .. } | Message::DescriptorsInUse { .. } => {
-                SuccessorAction::Apply
-            }
+            Message::AffinityRecords(_)
+            | Message::ConnectionIds(_)
+            | Message::Connection { .. }
+            | Message::DescriptorsInUse { .. } => SuccessorAction::Apply,
             _ => SuccessorAction::Fail(TakeoverError::OutOfTurn),
         }
     }
--- a/src/listener/line/mod.rs
+++ b/src/listener/line/mod.rs
@@ -1,19 +1,20 @@
 //! The platform's line protocol: each message of a client or an endpoint is one line of text.
 //!
-//! [`LineProtocolState`] holds the names that requests may use and the ids of the open connections;
+//! [`LineProtocolState`] holds the names that requests may use and the ids that they may not;
 //! [`LineProtocol`] holds the state of one connection. It reads `OPEN` and `PING` from the client and the
 //! endpoint's answers, writes the `OPEN` of each attempt with the time that is left, and observes the lines
 //! of the established connection. Times are milliseconds.
 
+mod connection_ids;
 mod open_line;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::str;
 
 use bytes::{Buf, BytesMut};
 
+pub use self::connection_ids::ConnectionIds;
 use self::open_line::OpenLine;
 use super::{AttemptAnswer, ClientProtocol, ReadProgress, TransferredProtocol};
 use crate::policy::api::*;
@@ -49,8 +50,8 @@
     names: RefCell<AcceptedNames>,
     /// Tenants of the previous settings, whose connections may still arrive mid-flow.
     previous_tenants: RefCell<Vec<String>>,
-    /// Ids of the open connections, each with its client's key.
-    open: RefCell<HashMap<String, String>>,
+    /// The ids that requests may not use.
+    ids: RefCell<ConnectionIds>,
 }
 
 impl LineProtocolState {
@@ -80,16 +81,9 @@
             || mid_flow && contains(&self.previous_tenants.borrow())
     }
 
-    /// Registers an open connection; returns false where the connection's id is already registered. A
-    /// mid-flow arrival whose packets were routed elsewhere meanwhile may still be registered here: the
-    /// arrival replaces the registered connection with the same id and key.
-    fn register(&self, id: &str, key: &str, mid_flow: bool) -> bool {
-        let mut open = self.open.borrow_mut();
-        if open.get(id).is_some_and(|other| !mid_flow || other != key) {
-            return false;
-        }
-        open.insert(id.to_owned(), key.to_owned());
-        true
+    /// The ids that requests may not use, which both processes of a hand-over have to know.
+    pub fn ids(&self) -> &RefCell<ConnectionIds> {
+        &self.ids
     }
 }
 
@@ -99,6 +93,10 @@
     handshake_timeout: Millis,
     /// The connection's id, while the connection is registered as open.
     id: Option<String>,
+    /// Whether an endpoint may have served the request in an earlier attempt.
+    may_have_run: bool,
+    /// Whether the latest attempt has begun, and its endpoint has not shown that it never served the request.
+    may_be_running: bool,
     /// The client's `OPEN` line, without its line end.
     open_line: String,
     /// Start of the endpoint's current line.
@@ -119,6 +117,8 @@
             rules,
             handshake_timeout,
             id: None,
+            may_have_run: false,
+            may_be_running: false,
             open_line: String::new(),
             line_prefix: Vec::new(),
             line_bytes: 0,
@@ -129,10 +129,11 @@
 
     /// Resumes a connection that the predecessor process has handed over.
     pub fn resume(rules: Rc<LineProtocolState>, now: Millis, transferred: TransferredProtocol) -> Self {
-        rules.open.borrow_mut().insert(transferred.id.clone(), transferred.key);
+        rules.ids.borrow_mut().register_open(&transferred.id, &transferred.key);
         let outcome = |completed| if completed { Outcome::Ok } else { Outcome::Cancelled };
         let mut protocol = LineProtocol::new(rules, 0.0);
         protocol.id = Some(transferred.id);
+        protocol.may_have_run = true;
         protocol.line_prefix = transferred.line_prefix;
         protocol.line_prefix.truncate(LINE_PREFIX_BYTES);
         protocol.line_bytes = transferred.line_bytes as usize;
@@ -143,7 +144,7 @@
     }
 
     /// Parses `OPEN ID KEY name=value,...` and registers the connection. Returns `None` where the line is
-    /// malformed, or names an unknown class or tenant or an id that is open already. Such a request is not
+    /// malformed, or names an unknown class or tenant or an id that was used before. Such a request is not
     /// forwarded: an endpoint would reject it or close the connection, and the load balancer would retry it
     /// at another endpoint, although the failure says nothing about the endpoint.
     fn open(&mut self, now: Millis, line: &str) -> Option<IncomingRequest> {
@@ -154,7 +155,7 @@
         let tenant = request.tenant.as_ref().map_or("", |tenant| &*tenant.0);
         let accepted = self.rules.accepts_class(now, &request.class, mid_flow)
             && self.rules.accepts_tenant(tenant, mid_flow)
-            && self.rules.register(open.id, open.key, mid_flow);
+            && self.rules.ids.borrow_mut().register(open.id, open.key, mid_flow);
         if !accepted {
             return None;
         }
@@ -191,7 +192,7 @@
 impl Drop for LineProtocol {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
-            self.rules.open.borrow_mut().remove(&id);
+            self.rules.ids.borrow_mut().release(&id, self.may_have_run || self.may_be_running);
         }
     }
 }
@@ -256,6 +257,8 @@
     }
 
     fn begin_attempt(&mut self, time_left: Millis, out: &mut BytesMut) {
+        self.may_have_run |= self.may_be_running;
+        self.may_be_running = true;
         let deadline = format!("d={:.0}", time_left.floor().max(1.0));
         let (head, options) = self.open_line.rsplit_once(' ').unwrap_or(("", &self.open_line));
         let with_deadline = options
@@ -277,7 +280,10 @@
         let line = input[..end].strip_suffix(b"\r").unwrap_or(&input[..end]);
         match line.split(|b| *b == b' ').next().unwrap_or_default() {
             b"UP" => return AttemptAnswer::Established,
-            b"BUSY" => return AttemptAnswer::Ended(Outcome::Rejected),
+            b"BUSY" => {
+                self.may_be_running = false;
+                return AttemptAnswer::Ended(Outcome::Rejected);
+            }
             b"MOVE" => return AttemptAnswer::Ended(Outcome::Cancelled),
             b"BYE" => return AttemptAnswer::Ended(Outcome::Reset),
             b"ERR" => {}
@@ -335,7 +341,7 @@
     fn export(&self, now: Millis) -> Option<TransferredProtocol> {
         let id = self.id.clone()?;
         Some(TransferredProtocol {
-            key: self.rules.open.borrow().get(&id)?.clone(),
+            key: self.rules.ids.borrow().key(&id)?.to_owned(),
             id,
             line_prefix: self.line_prefix.clone(),
             line_bytes: self.line_bytes as u64,
@@ -352,3 +358,6 @@
         self.announced
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/takeover/predecessor.rs
+++ b/src/net/takeover/predecessor.rs
@@ -19,8 +19,8 @@
 use super::link::Link;
 use super::{SEND_TIMEOUT, SOCKET_NAME, newest_version};
 use crate::handover::{
-    FIRST_PROTOCOL_VERSION, MAX_LIST_ENTRIES_PER_MESSAGE, MAX_RECORDS_PER_MESSAGE, MAX_TRANSFERS_AT_A_TIME,
-    Message, PredecessorAction, PredecessorProcess, negotiate_version,
+    FIRST_PROTOCOL_VERSION, MAX_IDS_PER_MESSAGE, MAX_LIST_ENTRIES_PER_MESSAGE, MAX_RECORDS_PER_MESSAGE,
+    MAX_TRANSFERS_AT_A_TIME, Message, PredecessorAction, PredecessorProcess, negotiate_version,
 };
 use crate::net::accept::ACCEPT_PAUSE;
 use crate::net::shared::{InheritableSocket, OutgoingTransfer, Shared};
@@ -166,6 +166,8 @@
     link: Link,
     /// The number of descriptors in use that the successor was last sent.
     reported_descriptors: usize,
+    /// Whether the successor reads the ids that clients of this process have used.
+    sends_connection_ids: bool,
 }
 
 impl<'a> HandOver<'a> {
@@ -177,6 +179,7 @@
             transfers: OutgoingTransfers::new(shared),
             link,
             reported_descriptors: 0,
+            sends_connection_ids: false,
         }
     }
 
@@ -218,6 +221,7 @@
     /// Sends changes to the successor and, after SIGTERM, transfers connections.
     async fn handle_report_tick(&mut self) -> io::Result<()> {
         self.send_affinity_changes().await?;
+        self.send_connection_ids().await?;
         self.report_descriptors().await?;
         if self.shared.is_terminated.get() {
             self.shared.with_core(|relay, now| relay.transfer_connections(now, MAX_TRANSFERS_AT_A_TIME));
@@ -251,6 +255,9 @@
         self.send_endpoint_list().await?;
         self.send_learned_state().await?;
         self.send_affinity().await?;
+        self.sends_connection_ids = hello.accepts_connection_ids();
+        self.shared.line_rules.ids().borrow_mut().track_hashes();
+        self.send_connection_ids().await?;
         self.send_listening_sockets().await?;
         self.link.send(&Message::SnapshotComplete).await
     }
@@ -288,6 +295,19 @@
         Ok(())
     }
 
+    /// Sends the ids that clients have used since the last call, so that none runs again at the successor.
+    async fn send_connection_ids(&mut self) -> io::Result<()> {
+        loop {
+            let hashes = self.shared.line_rules.ids().borrow_mut().take_hashes(MAX_IDS_PER_MESSAGE);
+            if hashes.is_empty() {
+                return Ok(());
+            }
+            if self.sends_connection_ids {
+                self.link.send(&Message::ConnectionIds(hashes)).await?;
+            }
+        }
+    }
+
     async fn send_listening_sockets(&mut self) -> io::Result<()> {
         let sockets = self.duplicate_listening_sockets()?;
         let keys = sockets.iter().map(|inheritable| inheritable.key.clone()).collect();
@@ -309,6 +329,7 @@
         info!("hand-over: a new process takes the relay over");
         self.shared.accepting.send_replace(false);
         self.send_affinity_changes().await?;
+        self.send_connection_ids().await?;
         let now = self.shared.clock.now();
         let standby = self.shared.relay.borrow().standby_elapsed(now);
         let slow_start_pause = self.shared.relay.borrow().slow_start_pause(now);
--- a/src/net/takeover/successor.rs
+++ b/src/net/takeover/successor.rs
@@ -18,7 +18,10 @@
 use super::link::Link;
 use super::{SOCKET_NAME, newest_version};
 use crate::discovery::ListError;
-use crate::handover::{FIRST_PROTOCOL_VERSION, Message, SuccessorAction, SuccessorProcess, VERSION_MISMATCH};
+use crate::handover::{
+    CONNECTION_IDS_VERSION, FIRST_PROTOCOL_VERSION, Message, SuccessorAction, SuccessorProcess,
+    VERSION_MISMATCH,
+};
 use crate::listener::TransferredProtocol;
 use crate::listener::line::LineProtocol;
 use crate::net::connection::{self, AdoptedConnection};
@@ -106,7 +109,7 @@
     folder: &Path,
     inherited: &mut Vec<InheritableSocket>,
 ) -> io::Result<Option<Predecessor>> {
-    let mut version = newest_version(shared);
+    let mut version = newest_version(shared).max(CONNECTION_IDS_VERSION);
     for _ in 0..MAX_SNAPSHOT_REQUESTS {
         let stream = match UnixStream::connect(folder.join(SOCKET_NAME)).await {
             Ok(stream) => stream,
@@ -161,6 +164,7 @@
                 schema_version::resume(shared, listened_ms, &advertisement).map_err(refused)?;
             }
             Message::AffinityRecords(records) => restore_affinity(shared, records),
+            Message::ConnectionIds(hashes) => add_connection_ids(shared, hashes),
             Message::ListeningSockets(keys) => {
                 let sockets = keys.into_iter().zip(predecessor.link.take_sockets());
                 inherited.extend(sockets.map(|(key, socket)| InheritableSocket { key, socket }));
@@ -202,6 +206,10 @@
     shared.with_core(|relay, now| relay.restore_affinity(now, records.into_iter()));
 }
 
+fn add_connection_ids(shared: &Shared, hashes: Vec<u64>) {
+    shared.line_rules.ids().borrow_mut().add_finished(hashes);
+}
+
 /// Takes the relay over once this process has an endpoint list that it may use. When this succeeds, the running
 /// process has stopped accepting clients for good.
 ///
@@ -217,6 +225,7 @@
         let ReceivedMessage { message, action } = predecessor.next().await?;
         match message {
             Message::AffinityRecords(records) => restore_affinity(shared, records),
+            Message::ConnectionIds(hashes) => add_connection_ids(shared, hashes),
             Message::AcceptingStopped { descriptors, standby, slow_start_pause } => {
                 shared.admission.set_other_process_descriptors(descriptors as usize);
                 continue_pauses(shared, standby, slow_start_pause);
@@ -260,6 +269,7 @@
                 shared.admission.set_other_process_descriptors(descriptors as usize)
             }
             Message::AffinityRecords(records) => restore_affinity(&shared, records),
+            Message::ConnectionIds(hashes) => add_connection_ids(&shared, hashes),
             Message::Connection { connection, protocol, pending_to_endpoint, pending_to_client } => {
                 let received = ReceivedConnection {
                     connection: *connection,
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -436,13 +436,14 @@
         ("a second SIGTERM", &|| setup.relay.terminate()),
         ("standby", &|| drop(setup.relay.call(b"standby\n"))),
     ];
-    for (what, signal) in signals {
+    for (round, (what, signal)) in signals.into_iter().enumerate() {
         let mut endpoints = Vec::new();
         let mut clients: Vec<_> = (0..6).map(|_| setup.relay.client()).collect();
         clients
             .iter_mut()
             .for_each(|client| assert!(["PONG", "STANDBY"].contains(&&*client.send("PING\r\n").line())));
-        let id = |n: usize| format!("{}{n}", what.len());
+        // Ids are fresh for every connection.
+        let id = |n: usize| format!("{}{n}", round + 1);
         let open_line = |n: usize| format!("OPEN {} 2 c=subtitle-stream,t=acme,d=5000\r\n", id(n));
         clients[0].send(&open_line(0)[..9]);
         clients[1].send(&open_line(1)[..open_line(1).len() - 1]);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -16,7 +16,9 @@
 use command_fds::{CommandFdExt, FdMapping};
 use common::*;
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
-use sandgw::handover::{FIRST_PROTOCOL_VERSION, Message, MessageDecoder, VERSION_MISMATCH, encode};
+use sandgw::handover::{
+    CONNECTION_IDS_VERSION, FIRST_PROTOCOL_VERSION, Message, MessageDecoder, VERSION_MISMATCH, encode,
+};
 
 struct TestCluster {
     _endpoint: Endpoint,
@@ -581,7 +583,7 @@
     std::fs::remove_file(cluster.path()).unwrap();
     let before = UnixListener::bind(cluster.path()).unwrap();
     let new = cluster.relay.beside();
-    for (proposed, why) in [(2, VERSION_MISMATCH), (FIRST_PROTOCOL_VERSION, "enough")] {
+    for (proposed, why) in [(CONNECTION_IDS_VERSION, VERSION_MISMATCH), (FIRST_PROTOCOL_VERSION, "enough")] {
         let stream = accepted(|| before.set_nonblocking(true).and_then(|()| before.accept()));
         stream.set_nonblocking(false).unwrap();
         let mut peer = HandOverPeer { stream, decoder: MessageDecoder::default() };
@@ -591,3 +593,31 @@
     until("the new process gives up", || new.has_ended());
     assert!(new.log().contains("refuses: enough"), "{}", new.log());
 }
+
+/// Guards against an id that runs twice, since it came again at the other process of an upgrade.
+#[test]
+fn an_id_that_clients_of_the_predecessor_have_used_is_rejected_by_the_successor() {
+    let cluster = TestCluster::start();
+    let request = |id: &str| format!("OPEN {id} 7f3a9c21e0b4d655 c=subtitle-stream,t=acme,d=2000\r\n");
+    let answer = |id: &str| cluster.relay.client().send(&request(id)).line();
+    let mut held = cluster.relay.client();
+    assert_eq!(held.send(&request("held")).line(), "UP 1");
+    assert_eq!(answer("left"), "UP 1");
+    // The request of this client is complete only after the hand-over, at the predecessor.
+    let mut late = cluster.relay.client();
+    late.send("OPEN late");
+    let new = cluster.relay.beside();
+    until("the new process serves", || new.log().contains("this process serves"));
+    for id in ["held", "left"] {
+        assert_eq!(answer(id), "ERR", "{id}: {}", new.log());
+    }
+    let rest = &request("late")["OPEN late".len()..];
+    assert_eq!(late.send(rest).line(), "UP 1");
+    // The predecessor reports the ids of late requests ten times a second.
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(answer("late"), "ERR", "{}", new.log());
+    cluster.relay.terminate();
+    until("the connections are with the new process", || new.status() == "done active, 2 standing");
+    assert_eq!(held.send("on\r\n").line(), "on");
+    assert_eq!([answer("held"), answer("late")], ["ERR", "ERR"]);
+}
--- a/tests/handover_messages.rs
+++ b/tests/handover_messages.rs
@@ -142,7 +142,7 @@
 fn messages_keep_their_bytes() {
     let agreement = Message::VersionAgreement { version: 2, listened_ms: 0.0, advertisement: "w".into() };
     let list = Message::EndpointList { discovery: "d".into(), revision: Some(7), entries: vec!["e".into()] };
-    let messages: [(Message, &[u8]); 12] = [
+    let messages: [(Message, &[u8]); 13] = [
         (hello(), &[0, 1, 2, b'n', b'0']),
         (Message::Refused("n".into()), &[1, 1, b'n']),
         (list, &[2, 1, b'd', 1, 7, 1, 1, b'e']),
@@ -155,6 +155,7 @@
         (Message::OwnershipGranted, &[10]),
         (Message::DescriptorsInUse { descriptors: 3 }, &[12, 3]),
         (agreement, &[13, 2, 0, 0, 0, 0, 0, 0, 0, 0, 1, b'w']),
+        (Message::ConnectionIds(vec![5]), &[14, 1, 5]),
     ];
     for (message, body) in messages {
         let bytes = encode(&message);
--- a/tests/line.rs
+++ b/tests/line.rs
@@ -76,14 +76,17 @@
         assert_eq!(answers, ["ERR", "(end)"], "{line}");
     }
     assert_eq!(endpoint.seen(), Vec::<String>::new());
-    // The id of another client's open connection is rejected, whatever the rest of the line; the id is free
-    // once that connection has ended.
+    // The id of another client's connection is rejected, whatever the rest of the line, while that connection
+    // is open and after it has ended: its request has run.
     let mut first = relay.client();
     assert_eq!(first.send("OPEN 5 2 c=subtitle-stream,t=acme,d=2000\r\n").line(), "UP 17");
     let again = || relay.client().send("OPEN 5 3 c=subtitle-stream,t=acme,d=2000\r\n").line();
     assert_eq!(again(), "ERR");
     assert_eq!(first.send("bye\r\n").rest(), "BYE\r\n");
-    until("the id is free", || again() == "UP 17");
+    until("the connection has ended", || relay.status() == "done active, 0 standing");
+    assert_eq!([again(), again()], ["ERR", "ERR"]);
+    let opened = endpoint.seen().iter().filter(|line| line.starts_with("OPEN 5 ")).count();
+    assert_eq!(opened, 1, "the request ran once");
 }
 
 /// Guards against silent connections that take all descriptors, so that no other client is accepted and
