Answer RTMP clients that have sent too much before their answer with an error

Cause: the end of a connection is queued behind its data; what the buffer and the system's window don't take stays at the client's side, and the end with it. The relay took such a client for one that waits. Change: over 16 KB unread beyond the buffer count as a client that goes on before its answer: _error and close. Mid-flow arrivals are exempt. early_data() says which of the three holds for a protocol. Why it works: the bytes that are allowed fit the window, so the end of the connection arrives behind them.

--- a/src/listener/line/mod.rs
+++ b/src/listener/line/mod.rs
@@ -16,7 +16,7 @@
 
 pub use self::connection_ids::ConnectionIds;
 use self::open_line::OpenLine;
-use super::{AttemptAnswer, ClientProtocol, ReadProgress, TransferredProtocol};
+use super::{AttemptAnswer, ClientProtocol, EarlyData, ReadProgress, TransferredProtocol};
 use crate::policy::api::*;
 use crate::relay::ServingMode;
 use crate::relay::{AcceptedClass, IncomingRequest, LocalReply};
@@ -245,15 +245,15 @@
             };
             self.open_line = line.to_owned();
             // A client must wait for the answer to its line: further bytes make the request invalid.
-            if !input.is_empty() && !self.accepts_early_data() {
+            if !input.is_empty() {
                 return self.reject_request(input, reply);
             }
             return ReadProgress::Request(request);
         }
     }
 
-    fn accepts_early_data(&self) -> bool {
-        false
+    fn early_data(&self) -> EarlyData {
+        EarlyData::Refused
     }
 
     fn begin_attempt(&mut self, time_left: Millis, out: &mut BytesMut) {
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -30,6 +30,18 @@
     Close,
 }
 
+/// What a client may send before it receives the answer to its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlyData {
+    /// Nothing.
+    Refused,
+    /// Some messages. More would keep the relay from seeing that the client has left: the end of the
+    /// connection is queued behind the data, and does not arrive while the queue is full.
+    Limited,
+    /// Any number of bytes: the client's connection was established before.
+    Unlimited,
+}
+
 /// How far the endpoint's answer has been read, before the connection is established.
 #[derive(Debug, PartialEq)]
 pub enum AttemptAnswer {
@@ -81,10 +93,8 @@
         !input.is_empty()
     }
 
-    /// Whether the client may send further bytes before it receives the answer to its request.
-    fn accepts_early_data(&self) -> bool {
-        true
-    }
+    /// What the client may send before it receives the answer to its request.
+    fn early_data(&self) -> EarlyData;
 
     /// Begins an attempt that times out after `time_left`, and writes the first bytes for the endpoint.
     fn begin_attempt(&mut self, time_left: Millis, out: &mut BytesMut);
--- a/src/listener/rtmp/mod.rs
+++ b/src/listener/rtmp/mod.rs
@@ -29,7 +29,7 @@
 use self::command::{Command, FAILED, RECONNECT_REQUEST, REJECTED, encode_command, information_object};
 use self::handshake::{HANDSHAKE_P0_P1_BYTES, advance_handshake};
 use self::proxy::{MidFlowKeys, ParsedHeader};
-use super::{AttemptAnswer, ClientProtocol, ReadProgress};
+use super::{AttemptAnswer, ClientProtocol, EarlyData, ReadProgress};
 use crate::policy::api::*;
 use crate::relay::ServingMode;
 use crate::relay::{IncomingRequest, LocalReply};
@@ -289,6 +289,10 @@
         }
     }
 
+    fn early_data(&self) -> EarlyData {
+        if let ClientStage::MidFlow(_) = self.stage { EarlyData::Unlimited } else { EarlyData::Limited }
+    }
+
     fn begin_attempt(&mut self, _time_left: Millis, out: &mut BytesMut) {
         if let ClientStage::MidFlow(keys) = &self.stage {
             return proxy::write_mid_flow(out, keys);
--- a/src/net/connection/attempt.rs
+++ b/src/net/connection/attempt.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use log::debug;
+use rustix::io::ioctl_fionread;
 use socket2::SockRef;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
@@ -18,7 +19,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::{ClientConnection, read_more};
-use crate::listener::{AttemptAnswer, ClientProtocol};
+use crate::listener::{AttemptAnswer, ClientProtocol, EarlyData};
 use crate::net::pool::PooledBuffer;
 use crate::net::{Shared, duration_from_millis, is_local_shortage};
 use crate::policy::api::{Millis, Outcome, RequestId};
@@ -27,6 +28,10 @@
 /// How often the relay checks whether a client has disconnected while the client's buffer is full. With a
 /// full buffer the relay cannot read on to the end of the stream.
 const CLIENT_END_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+/// How many bytes a client may have sent beyond the relay's buffer before its request is answered, unless its
+/// protocol sets no limit. They fit the receive window that the system gives a connection, so that the end of
+/// the connection arrives behind them.
+const MAX_UNREAD_EARLY_BYTES: u64 = 16 * 1024;
 
 /// The result of a request's attempts.
 pub(super) enum Placement {
@@ -70,13 +75,13 @@
     ) -> io::Result<Placement> {
         let shared = self.shared.clone();
         let limit = shared.clock.instant_at(deadline);
-        let accepts_early_data = self.protocol.accepts_early_data();
+        let early_data = self.protocol.early_data();
         loop {
             // When several events are ready at once, the client's disconnection is handled first, since no
             // attempt may begin after it.
             let command = tokio::select! {
                 biased;
-                () = wait_for_disconnect(&self.client, &mut self.input, accepts_early_data) =>
+                () = wait_for_disconnect(&self.client, &mut self.input, early_data) =>
                     return Ok(Placement::ClientDisconnected),
                 command = commands.recv() => command,
                 () = sleep_until(limit) => {
@@ -91,7 +96,7 @@
                 None => return Ok(Placement::ClientDisconnected),
             };
             let started = shared.clock.now();
-            match self.run_attempt(&attempt, accepts_early_data, limit, commands).await {
+            match self.run_attempt(&attempt, early_data, limit, commands).await {
                 StepResult::ClientDisconnected => return Ok(Placement::ClientDisconnected),
                 StepResult::Answered(response) => return Ok(Placement::Answered(response)),
                 // The core answers the report with a reply command, which the next turn of the loop receives.
@@ -119,13 +124,13 @@
     async fn run_attempt(
         &mut self,
         attempt: &Attempt,
-        accepts_early_data: bool,
+        early_data: EarlyData,
         limit: Instant,
         commands: &mut UnboundedReceiver<ConnectionCommand>,
     ) -> StepResult<Result<AcceptedUpstream, Outcome>> {
         let shared = self.shared.clone();
         let input = &mut self.input;
-        let mut waiting = WaitingClient { client: &self.client, input, accepts_early_data, commands, limit };
+        let mut waiting = WaitingClient { client: &self.client, input, early_data, commands, limit };
         let connected = match waiting.run(connect(&shared, attempt)).await {
             StepResult::Done(Ok(_)) if waiting.has_disconnected() => return StepResult::ClientDisconnected,
             StepResult::Done(Ok(connected)) => connected,
@@ -145,7 +150,7 @@
 struct WaitingClient<'a> {
     client: &'a TcpStream,
     input: &'a mut PooledBuffer,
-    accepts_early_data: bool,
+    early_data: EarlyData,
     commands: &'a mut UnboundedReceiver<ConnectionCommand>,
     /// The request's deadline, as an instant of the runtime.
     limit: Instant,
@@ -159,7 +164,7 @@
         loop {
             tokio::select! {
                 biased;
-                () = wait_for_disconnect(self.client, self.input, self.accepts_early_data) =>
+                () = wait_for_disconnect(self.client, self.input, self.early_data) =>
                     return StepResult::ClientDisconnected,
                 command = self.commands.recv() => match command {
                     Some(ConnectionCommand::Reply(response)) => return StepResult::Answered(response),
@@ -175,18 +180,21 @@
 
     /// Whether the client has disconnected by now; see [`has_client_disconnected`].
     fn has_disconnected(&mut self) -> bool {
-        has_client_disconnected(self.client, self.input, self.accepts_early_data)
+        has_client_disconnected(self.client, self.input, self.early_data)
     }
 }
 
-/// Waits until a client whose request is not answered yet disconnects, or sends bytes although its protocol
-/// does not accept early data. Early data that the protocol accepts is kept in the buffer.
-async fn wait_for_disconnect(client: &TcpStream, input: &mut PooledBuffer, accepts_early_data: bool) {
+/// Waits until a client whose request is not answered yet disconnects, or sends more than its protocol accepts
+/// before the answer. Early data that the protocol accepts is kept in the buffer.
+async fn wait_for_disconnect(client: &TcpStream, input: &mut PooledBuffer, early_data: EarlyData) {
     loop {
         if input.spare_capacity() > 0 {
-            if !matches!(read_more(client, input).await, Ok(read) if read > 0 && accepts_early_data) {
+            if !matches!(read_more(client, input).await, Ok(read) if read > 0 && early_data != EarlyData::Refused)
+            {
                 return;
             }
+        } else if has_excess_early_data(client, early_data) {
+            return;
         } else if client.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
             sleep(CLIENT_END_CHECK_INTERVAL).await;
         } else {
@@ -200,16 +208,23 @@
 pub(super) fn has_client_disconnected(
     client: &TcpStream,
     input: &mut PooledBuffer,
-    accepts_early_data: bool,
+    early_data: EarlyData,
 ) -> bool {
     while input.spare_capacity() > 0 {
         match input.fill_unpolled(client) {
             Ok(None) => return false,
-            Ok(Some(read)) if read > 0 && accepts_early_data => {}
+            Ok(Some(read)) if read > 0 && early_data != EarlyData::Refused => {}
             Ok(_) | Err(_) => return true,
         }
     }
-    false
+    has_excess_early_data(client, early_data)
+}
+
+/// Whether a client whose bytes have filled the buffer has sent so many more that the end of its connection
+/// may not arrive.
+fn has_excess_early_data(client: &TcpStream, early_data: EarlyData) -> bool {
+    early_data == EarlyData::Limited
+        && ioctl_fionread(client).is_ok_and(|unread| unread > MAX_UNREAD_EARLY_BYTES)
 }
 
 /// Connects to an attempt's endpoint at the address that the endpoint list gives for it now.
--- a/src/net/connection/handshake.rs
+++ b/src/net/connection/handshake.rs
@@ -36,7 +36,7 @@
         }
         // The client may have disconnected after its request, and both the request and the disconnection may
         // have arrived before either was read. In that case no attempt is made at an endpoint.
-        if has_client_disconnected(&self.client, &mut self.input, self.protocol.accepts_early_data()) {
+        if has_client_disconnected(&self.client, &mut self.input, self.protocol.early_data()) {
             self.protocol.write_local_reply(LocalReply::Failed, &mut self.reply);
             self.close().await?;
             return Ok(None);
--- a/tests/rtmp.rs
+++ b/tests/rtmp.rs
@@ -451,6 +451,32 @@
     assert_eq!(seen(&log, "begun"), 3);
 }
 
+/// Guards against a request that is sent on after its client has left: the end of its connection can't arrive
+/// behind more bytes than the relay's socket takes.
+#[test]
+fn the_request_of_a_client_that_left_much_unread_is_not_sent_on() {
+    const CLIENTS: usize = 12;
+    const EARLY_BYTES: usize = 1 << 20;
+    let _exclusive = run_exclusively();
+    let endpoints = [endpoint("one", ACCEPTS, PACE)];
+    let (_discovery, relay) = start_relay(&endpoints);
+    let peers = (0..CLIENTS).map(|_| Peer::new(connect(&relay.rtmp), PeerType::Client, Duration::ZERO));
+    let mut clients: Vec<Peer> = peers.map(Option::unwrap).collect();
+    relay.freeze();
+    for (n, client) in clients.iter_mut().enumerate() {
+        let object = [("app".to_owned(), Amf0Value::Utf8String(format!("vod/{n}")))];
+        client.command("connect", 1.0, Amf0Value::Object(object.into()), Vec::new());
+        client.stream.set_nonblocking(true).unwrap();
+        while client.stream.write(&[7; EARLY_BYTES]).is_ok_and(|written| written > 0) {}
+    }
+    drop(clients);
+    relay.signal("CONT");
+    until("no connection is left", || relay.call(b"status\n") == "done active, 0 standing");
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(relay.call(b"status\n"), "done active, 0 standing");
+    assert_eq!(endpoints[0].seen(), Vec::<String>::new());
+}
+
 /// A front that sends a connection's packets to another relay marks them as mid-flow: the endpoint that holds
 /// the connection continues it, and an unknown connection is reset.
 #[test]
