Split the hand-over of the running process, and test a start in an outage of discovery

src/net/takeover/predecessor.rs offered the relay and carried out each hand-over (378 lines); outgoing.rs has the hand-over now. Nothing of what it does has changed. The hand-over tests of slow_discovery.rs share one setup.

--- a/src/net/takeover/mod.rs
+++ b/src/net/takeover/mod.rs
@@ -3,12 +3,13 @@
 //!
 //! - `link`: sends and receives messages and descriptors over the socket.
 //! - `successor`: the side of the starting process, which takes the relay over.
-//! - `predecessor`: the side of the running process, which offers the relay and afterwards transfers its
-//!   connections or serves them to their end.
+//! - `predecessor`: the side of the running process, which offers the relay.
+//! - `outgoing`: one hand-over of the running process, which sends its state and afterwards its connections.
 //!
 //! The state machines in `crate::handover` decide what each side does next.
 
 mod link;
+mod outgoing;
 mod predecessor;
 mod successor;
 
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -184,19 +184,33 @@
     assert_eq!(attempts(), before, "a request was sent to the draining endpoint");
 }
 
+/// A relay that serves and can be taken over, with one endpoint.
+struct TakeoverSetup {
+    list: Discovery,
+    relay: Relay,
+    _endpoint: Endpoint,
+    _folder: tempfile::TempDir,
+}
+
+impl TakeoverSetup {
+    fn start(case: SlowCase) -> TakeoverSetup {
+        let (list, endpoint) = (Discovery::start(), Endpoint::lines("UP 1\r\n"));
+        list.set("s-0", &endpoint.address, "Ready", 0);
+        let folder = tempfile::tempdir().unwrap();
+        let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), case.settings(0));
+        let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
+        until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+        TakeoverSetup { list, relay, _endpoint: endpoint, _folder: folder }
+    }
+}
+
 /// How long clients connect while another process takes over.
 const HAND_OVER: Duration = Duration::from_secs(4);
 
 /// Guards against clients that are rejected since the list that was handed over is not confirmed at once.
 #[test]
 fn clients_are_served_throughout_a_hand_over() {
-    let list = Discovery::start();
-    let endpoint = Endpoint::lines("UP 1\r\n");
-    list.set("s-0", &endpoint.address, "Ready", 0);
-    let folder = tempfile::tempdir().unwrap();
-    let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), SlowCase::late_calls(1, 0).settings(0));
-    let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
-    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    let TakeoverSetup { relay, .. } = &TakeoverSetup::start(SlowCase::late_calls(1, 0));
     let successor = relay.beside();
     let start = Instant::now();
     while start.elapsed() < HAND_OVER {
@@ -207,13 +221,7 @@
 
 /// Checks that clients are served while another process takes over, although discovery answers late.
 fn check_hand_over_with_late_answers(case: SlowCase) {
-    let list = Discovery::start();
-    let endpoint = Endpoint::lines("UP 1\r\n");
-    list.set("s-0", &endpoint.address, "Ready", 0);
-    let folder = tempfile::tempdir().unwrap();
-    let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), case.settings(0));
-    let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
-    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    let TakeoverSetup { list, relay, .. } = &TakeoverSetup::start(case);
     list.set_latency(case.latency);
     let successor = relay.beside();
     let start = Instant::now();
@@ -239,14 +247,8 @@
 /// clients.
 #[test]
 fn a_successor_whose_agent_is_silent_leaves_the_relay_to_its_predecessor() {
-    let list = Discovery::start();
-    let endpoint = Endpoint::lines("UP 1\r\n");
-    list.set("s-0", &endpoint.address, "Ready", 0);
-    let folder = tempfile::tempdir().unwrap();
     let case = SlowCase::late_later(1, 60_000).with_pushed_lists();
-    let more = format!("[relay]\nhandover = {:?}\n{}", folder.path(), case.settings(0));
-    let relay = Relay::start_more(&list, 256, &[host()], 0, &more);
-    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    let TakeoverSetup { list, relay, .. } = &TakeoverSetup::start(case);
     list.set_latency(case.latency);
     let successor = relay.beside();
     let start = Instant::now();
@@ -285,3 +287,33 @@
     }
     assert_eq!(attempts(), before, "a request was sent to the draining endpoint");
 }
+
+/// The grace of the rule on drains in these settings.
+const DRAIN_GRACE: Duration = Duration::from_millis(1050);
+
+/// Guards against a restarted relay that sends by the list of its last run in an outage that began after the
+/// list's changes had come to count as known.
+#[test]
+fn a_relay_that_starts_in_an_outage_sends_to_no_endpoint_whose_drain_counts_as_known() {
+    let list = Discovery::start();
+    let endpoint = Endpoint::lines("UP 1\r\n");
+    list.set("s-0", &endpoint.address, "Ready", 0);
+    let relay = Relay::start_more(&list, 256, &[host()], 0, &SlowCase::late_calls(1, 0).settings(0));
+    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    relay.signal("KILL");
+    until("the relay has ended", || relay.has_ended());
+    list.set("s-0", &endpoint.address, "Terminating", 0);
+    std::thread::sleep(KNOWN_WITHIN);
+    list.down(true);
+    let relay = relay.beside();
+    until("the relay listens", || std::net::TcpStream::connect(&relay.line).is_ok());
+    until("the relay is ready", || relay.client().send("PING\r\n").line() == "PONG");
+    let ready_at = Instant::now();
+    while ready_at.elapsed() < 2 * DRAIN_GRACE {
+        relay.client().open("").line();
+    }
+    let is_late =
+        |entry: &&(Instant, String)| entry.0 > ready_at + DRAIN_GRACE && entry.1.starts_with("OPEN");
+    let late = endpoint.log.lock().unwrap().iter().filter(is_late).count();
+    assert_eq!(late, 0, "requests were sent to the draining endpoint: {}", relay.log());
+}
