--- a/src/net/takeover/successor.rs
+++ b/src/net/takeover/successor.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use tokio::net::{TcpStream, UnixStream};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::link::Link;
 use super::{SOCKET_NAME, newest_version};
@@ -217,8 +217,17 @@
 /// The link broke, or the running process refuses, does not answer in time, or sends data that can't be used,
 /// or nothing has confirmed the endpoint list in time.
 pub async fn take_over(shared: &Rc<Shared>, predecessor: &mut Predecessor) -> Result<(), TakeoverFailure> {
-    if timeout(LIST_TIMEOUT, wait_for_confirmed_list(shared)).await.is_err() {
-        return Err(refused("discovery has not confirmed the list; the running process goes on serving"));
+    tokio::select! {
+        biased;
+        () = wait_for_confirmed_list(shared) => {}
+        // The running process sends nothing before the request, so this shows that it has ended.
+        ended = predecessor.link.next() => {
+            ended.map_err(TakeoverFailure::LinkBroken)?;
+            return Err(refused("the running process sent a message out of turn"));
+        }
+        () = sleep(LIST_TIMEOUT) => {
+            return Err(refused("discovery has not confirmed the list; the running process goes on serving"));
+        }
     }
     predecessor.send(&Message::TakeoverRequest).await?;
     loop {
--- a/tests/slow_discovery.rs
+++ b/tests/slow_discovery.rs
@@ -262,6 +262,21 @@
     assert!(answer.starts_with("UP"), "{answer}: {}", relay.log());
 }
 
+/// Guards against a successor that gives up although its predecessor has died, so that nobody serves.
+#[test]
+fn a_successor_that_waits_for_its_list_serves_if_its_predecessor_dies() {
+    let case = SlowCase::late_later(1, 8000).with_pushed_lists();
+    let TakeoverSetup { list, relay, .. } = &TakeoverSetup::start(case);
+    list.set_latency(case.latency);
+    let successor = relay.beside();
+    until("the successor waits", || successor.log().contains("operators call at"));
+    std::thread::sleep(Duration::from_secs(1));
+    relay.signal("KILL");
+    until("the relay is ready", || relay.client().send("PING\r\n").line() == "PONG");
+    until("the relay serves", || relay.client().open("").line().starts_with("UP"));
+    assert!(!successor.has_ended(), "{}", successor.log());
+}
+
 /// Guards against a restarted relay that sends by the list of its last run while its agent, which has been
 /// told of a drain, is silent.
 #[test]
