Read from the signal on in the test of migrations after SIGTERM

Cause: the test. Its clients began to read 0.4 s after the signal, so the two steps before that (0.3 and 0.4 s, 4 clients each) were taken for one; the trace shows 8 clients at 407 ms, 4 at 505 ms, then 3 each 0.1 s. No step of the relay had more than 4. Change: all clients read from the signal on, so that the time is that at which a client is told. Bound and window stay.

--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -229,21 +229,23 @@
 #[test]
 fn after_sigterm_connections_that_end_with_the_process_are_told_to_move_one_after_the_other() {
     let (_endpoint, _discovery, relay) = start_relay(PROXY);
-    let mut clients: Vec<Client> = (0..60).map(|_| establish(&relay)).collect();
-    relay.terminate();
+    let clients: Vec<Client> = (0..60).map(|_| establish(&relay)).collect();
     let start = Instant::now();
-    while start.elapsed() < LATE_ARRIVALS {
-        clients.push(establish(&relay));
-        thread::sleep(Duration::from_millis(50));
-    }
-    assert_eq!(relay.client().send("PING\r\n").line(), "PONG", "the process serves on");
-    let readers = clients.into_iter().map(|mut client| {
+    // Each client reads from the signal on, so that the time is that at which it is told.
+    let read = |mut client: Client| {
         thread::spawn(move || {
             let told = client.line();
             (told, start.elapsed(), client.line())
         })
-    });
-    let moved: Vec<_> = readers.collect::<Vec<_>>().into_iter().map(|r| r.join().unwrap()).collect();
+    };
+    let mut readers: Vec<_> = clients.into_iter().map(read).collect();
+    relay.terminate();
+    while start.elapsed() < LATE_ARRIVALS {
+        readers.push(read(establish(&relay)));
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(relay.client().send("PING\r\n").line(), "PONG", "the process serves on");
+    let moved: Vec<_> = readers.into_iter().map(|reader| reader.join().unwrap()).collect();
     let in_time = |(told, at, end): &(String, Duration, String)| {
         told == "MOVE" && end == "(end)" && *at < TERMINATION_TIME
     };
